--- /dev/null
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -0,0 +1,199 @@
+package ledgearch
+
+/** Every constant of the service, with its unit and the reason for its value. */
+internal object Tuning {
+    // --- HTTP -------------------------------------------------------------------------------------------------
+    /** Bytes. The protocol's bound on a request body. */
+    const val MAX_BODY = 64 * 1024
+
+    /** Bytes. A whole page of keys is 512 KiB and a watch answer has no bound; beyond this the answer is dropped. */
+    const val MAX_RESPONSE = 16 * 1024 * 1024
+
+    /** Bytes. All header lines of a message together; the protocol needs a few hundred. */
+    const val MAX_HEAD = 8 * 1024
+
+    /** Bytes. First buffer of a connection: nearly every message fits, and a thousand idle users stay cheap. */
+    const val READ_BUFFER = 2 * 1024
+
+    /** Connections. Waiting to be accepted; small, so that a full node refuses and callers go on to the next. */
+    const val ACCEPT_BACKLOG = 64
+
+    /** ms. A connection with no request in progress; users poll about every 5 s, so this closes only forgotten ones. */
+    const val IDLE_MS = 60_000L
+
+    /** ms. From the first byte of a request to its last: longer than any lost packet's resend, bounds slow senders. */
+    const val SLOW_REQUEST_MS = 10_000L
+
+    /** ms. How long one write may stall before the connection is given up. */
+    const val WRITE_MS = 10_000L
+
+    /** Share of the sockets allowed that incoming connections may take; the rest is for calls to others. */
+    const val INCOMING_SHARE = 0.75
+
+    /** ms. Opening a connection to anything: several resends of a lost packet. */
+    const val CONNECT_MS = 1_500L
+
+    /** ms. Kept-alive connections to others are closed after this: nothing here is called more rarely. */
+    const val POOLED_IDLE_MS = 20_000L
+
+    // --- The owner's queue ------------------------------------------------------------------------------------
+    /** Commands. A full queue makes the connections wait, which holds their senders back. */
+    const val QUEUE = 1024
+
+    /** Commands. Handled before effects are made, so that one pass of placement serves them all. */
+    const val BATCH = 64
+
+    /** ms. Time-driven work; a twentieth of the shortest wait that users ask for. */
+    const val TICK_MS = 50L
+
+    // --- State service ----------------------------------------------------------------------------------------
+    /** ms. A request to the state service; it usually takes under 10 and now and then a few hundred. */
+    const val STATE_MS = 1_500L
+
+    /** ms. A page of keys or an answered watch may be large. */
+    const val STATE_PAGE_MS = 6_000L
+
+    /** ms. How long one watch waits for changes. */
+    const val WATCH_MS = 10_000L
+
+    /** Keys a page. Well under the service's 1,000 so that one answer is parsed in a fraction of a second. */
+    const val PAGE = 200
+
+    /** Share of the state service's limits that all nodes together plan to use: clocks and bursts differ a little. */
+    const val BUDGET_USED = 0.9
+
+    /** Of the nodes' budget, the share of the block's holder; the others split the rest. */
+    const val HOLDER_SHARE = 0.5
+
+    /** Bytes. Planned size of one transaction: the service takes 64 KiB. */
+    const val TXN_BYTES = 48 * 1024
+
+    /** ms. Pause after a refused or unanswered state request. */
+    const val STATE_RETRY_MS = 250L
+
+    // --- Election ---------------------------------------------------------------------------------------------
+    /** ms. Life of the lease that the grant hangs on: a node short of processor time must still renew in time. */
+    const val LEASE_MS = 6_000L
+
+    /** ms. Renewed four times within its life. */
+    const val TOUCH_MS = 1_500L
+
+    /** ms. A grant not verified for this long is compared again. */
+    const val VERIFY_MS = 1_500L
+
+    /** ms. Spread of the first try for a free grant, so that nodes seldom collide. */
+    const val ELECTION_SPREAD_MS = 200L
+
+    /** ms. Least time between two renewed tokens: each makes every worker report once more. */
+    const val BUMP_MS = 5_000L
+
+    /** ms. A node that gave its grant up stands back this long if others want it. */
+    const val STAND_BACK_MS = 15_000L
+
+    /** ms. A node that has not heard from the state service for this long is not healthy while others may be. */
+    const val STATE_SILENT_MS = 4_000L
+
+    // --- Users ------------------------------------------------------------------------------------------------
+    /** Jobs. Finished jobs whose answer is kept in memory (a name and one word each); the rest are read when asked. */
+    const val FINAL_CACHE = 20_000L
+
+    /** ms. A submission waits this long for its durable record, then the user is told to come back. */
+    const val SUBMIT_MS = 2_500L
+
+    /** ms. A poll is waited for 2 s by its user. */
+    const val POLL_MS = 1_500L
+
+    /** ms. A withdrawal waits this long for the holder, then the user is told to come back. */
+    const val WITHDRAW_MS = 3_000L
+
+    /** Requests. Waiting for the state service at one time; beyond it users are told to come back at once. */
+    const val INTAKE_BACKLOG = 512
+
+    /** s. What a user who is turned away is told to wait. */
+    const val RETRY_AFTER_S = 2
+
+    // --- Workers ----------------------------------------------------------------------------------------------
+    /** ms. A direct command; a healthy worker answers within a few ms. */
+    const val PUSH_MS = 2_000L
+
+    /** ms. Between two tries to reach an unconfirmed machine directly. */
+    const val PROBE_MS = 1_500L
+
+    /** Reports. A machine silent for this many report intervals gets no new tasks. */
+    const val SUSPECT_REPORTS = 1.7
+
+    /** Reports. A machine silent for this many is given up and released. */
+    const val LOST_REPORTS = 3.5
+
+    /** Share. When more machines than this are silent at once, the fault is on our side: nothing is released. */
+    const val SILENT_SHARE = 0.5
+
+    /** Reports. With most machines silent for this many intervals, the holder gives the block up. */
+    const val CUT_REPORTS = 4.5
+
+    /** ms. A machine that refused a start, or a job unknown to its worker, gets the next one after this. */
+    const val REFUSED_MS = 1_000L
+
+    /** ms. A machine whose task failed gets nothing new for this long: a faulty one fails at once, and would eat a queue. */
+    const val ERROR_PAUSE_MS = 3_000L
+
+    /** Factor on a worker's lease: the steady clocks of two machines drift by 0.05% each, doubled for safety. */
+    const val DRIFT = 1.002
+
+    /** ms. Added to a lease that is waited out: timers here fire late when the processor is short. */
+    const val LEASE_MARGIN_MS = 500L
+
+    /** Tasks of different jobs failing in a row, with nothing completed between, that make a machine suspect. */
+    const val SICK_ERRORS = 2
+
+    /** Machines on which a job's tasks fail, with none completed anywhere, before the job itself is blamed. */
+    const val BAD_JOB_MACHINES = 3
+
+    /** ms. First pause of a job that fails everywhere; doubled each time up to [BAD_JOB_MAX_MS]. */
+    const val BAD_JOB_MS = 5_000L
+    const val BAD_JOB_MAX_MS = 60_000L
+
+    // --- Placement --------------------------------------------------------------------------------------------
+    /** Bound, unstarted tasks. TH_u: at most this many is underloaded. */
+    const val TH_U = 0
+
+    /** TH_f: above TH_u up to this is medium, above it full. */
+    const val TH_F = 1
+
+    /** TH_v: above it a machine is overloaded and new tasks overflow to buddies. */
+    const val TH_V = 2
+
+    /** Machines. The paper finds 10 to 15 enough for any size of system. */
+    const val BUDDIES = 10
+
+    // --- Fleet ------------------------------------------------------------------------------------------------
+    /** ms. Between two readings of the machine list. */
+    const val LIST_MS = 4_000L
+
+    /** ms. Between two readings of the catalog; prices move slowly. */
+    const val CATALOG_MS = 60_000L
+
+    /** ms. A call to the cloud. */
+    const val CLOUD_MS = 5_000L
+
+    /** ms. Pause after a refused or unanswered call to the cloud. */
+    const val CLOUD_RETRY_MS = 1_000L
+
+    /** ms. A type, zone and kind that had no capacity is not asked for again before this. */
+    const val NO_CAPACITY_MS = 15_000L
+
+    /** Factor on the catalog's start-up time after which a booting machine is taken for dead. */
+    const val BOOT_PATIENCE = 3.0
+
+    /** ms. An empty machine is kept this long: a machine costs at least a minute anyway. */
+    const val IDLE_KEEP_MS = 45_000L
+
+    /** Machines. Rented by one request: the need is looked at again before more. */
+    const val RENT_AT_ONCE = 6
+
+    /** Share of the used processors that is kept free before an idle machine is returned. */
+    const val SPARE_SHARE = 0.25
+
+    /** ms. Between two plannings of the fleet. */
+    const val PLAN_MS = 500L
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -0,0 +1,83 @@
+package ledgearch.cli
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import ledgearch.Tuning
+import ledgearch.config.Settings
+import ledgearch.core.Command
+import ledgearch.core.Controller
+import ledgearch.core.Transport
+import ledgearch.http.HttpClient
+import ledgearch.http.HttpServer
+import ledgearch.http.Reply
+import ledgearch.http.Request
+import ledgearch.http.Response
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.nio.channels.AsynchronousChannelGroup
+import java.util.concurrent.ScheduledThreadPoolExecutor
+import kotlin.random.Random
+
+/** The process around the owner: one thread for coroutines, sockets and the owner's queue. */
+internal class Daemon(private val settings: Settings) {
+    private val log = LoggerFactory.getLogger("ledgearch.daemon")
+    private val executor = ScheduledThreadPoolExecutor(1) { Thread(it, "ledgearch") }.apply { removeOnCancelPolicy = true }
+    private val failures = CoroutineExceptionHandler { _, e -> log.error("unexpected failure", e) }
+    private val scope = CoroutineScope(executor.asCoroutineDispatcher() + SupervisorJob() + failures)
+    private val group = AsynchronousChannelGroup.withThreadPool(executor)
+    private val client = HttpClient(group)
+    private val queue = Channel<Command>(Tuning.QUEUE)
+    private val random = Random(System.nanoTime() xor settings.node.hashCode().toLong())
+    private val controller = Controller(settings, SocketTransport(), random, random.nextLong(Long.MAX_VALUE))
+
+    /** Binds the address (throws [IOException] when it is taken) and starts; the process then runs until killed. */
+    fun start() {
+        val sockets = (settings.deployment.quota.fdLimit * Tuning.INCOMING_SHARE).toInt()
+        HttpServer(scope, group, sockets, ::handle).start(settings.listen)
+        scope.launch { own() }
+        scope.launch {
+            while (true) {
+                delay(Tuning.POOLED_IDLE_MS / 2)
+                client.sweep()
+            }
+        }
+        log.info("node {} listens on {}", settings.node, settings.listen)
+    }
+
+    private suspend fun handle(request: Request): Response {
+        val answer = CompletableDeferred<Response>()
+        queue.send(Command.Serve(request) { answer.complete(it) })
+        return answer.await()
+    }
+
+    private suspend fun own() {
+        val batch = ArrayList<Command>(Tuning.BATCH)
+        while (true) {
+            batch.clear()
+            withTimeoutOrNull(Tuning.TICK_MS) { queue.receive() }?.let(batch::add)
+            while (batch.size < Tuning.BATCH) batch.add(queue.tryReceive().getOrNull() ?: break)
+            try {
+                controller.run(System.nanoTime() / 1_000_000, System.currentTimeMillis(), batch)
+            } catch (e: RuntimeException) {
+                // One bad message must not end the service; whoever sent it gets no answer and comes back.
+                log.error("a command failed", e)
+            }
+        }
+    }
+
+    private inner class SocketTransport : Transport {
+        override fun call(address: String, method: String, target: String, body: String?, timeoutMs: Long, done: (Reply) -> Unit) {
+            scope.launch {
+                val reply = client.call(address, method, target, body, timeoutMs)
+                queue.send(Command.Answered(reply, done))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/cli/Logging.kt
@@ -0,0 +1,14 @@
+package ledgearch.cli
+
+/** Levelled logging on standard error. Must run before the first logger is made. */
+internal object Logging {
+    private val LEVELS = setOf("error", "warn", "info", "debug")
+
+    fun configure(level: String?) {
+        val wanted = level?.lowercase()?.takeIf { it in LEVELS } ?: "info"
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", wanted)
+        System.setProperty("org.slf4j.simpleLogger.logFile", "System.err")
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+        System.setProperty("org.slf4j.simpleLogger.showDateTime", "false")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/cli/Main.kt
@@ -0,0 +1,76 @@
+package ledgearch.cli
+
+import ledgearch.config.Settings
+import ledgearch.config.SettingsException
+import ledgearch.config.SettingsLoader
+import org.apache.commons.cli.DefaultParser
+import org.apache.commons.cli.Option
+import org.apache.commons.cli.Options
+import org.apache.commons.cli.ParseException
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+private const val EXIT_OK = 0
+private const val EXIT_USAGE = 2
+private const val EXIT_SETTINGS = 3
+private const val EXIT_ADDRESS = 4
+
+private const val USAGE = """usage: ledgearch COMMAND [options]
+
+  serve --config FILE         run a controller until it is killed
+  check-config --config FILE  check the settings file and print what is in effect
+  --version                   print the version
+  --help                      print this help
+
+LOG_LEVEL (error, warn, info, debug) sets the amount of logging on standard error.
+exit codes: 0 fine, 2 wrong usage, 3 settings can't be used, 4 an address can't be listened on"""
+
+private val OPTIONS = Options()
+    .addOption(Option.builder().longOpt("config").hasArg().argName("FILE").get())
+    .addOption(Option.builder().longOpt("version").get())
+    .addOption(Option.builder("h").longOpt("help").get())
+
+fun main(args: Array<String>) {
+    val code = run(args)
+    if (code != null) exitProcess(code)
+}
+
+/** The exit code, or null when the process goes on. */
+private fun run(args: Array<String>): Int? {
+    Logging.configure(System.getenv("LOG_LEVEL"))
+    val line = try {
+        DefaultParser().parse(OPTIONS, args)
+    } catch (e: ParseException) {
+        return usage(e.message.orEmpty())
+    }
+    if (line.hasOption("help")) return EXIT_OK.also { println(USAGE) }
+    if (line.hasOption("version")) return EXIT_OK.also { println("ledgearch ${Version.text}") }
+    val words = line.argList
+    if (words.size > 1) return usage("unknown argument: ${words[1]}")
+    val command = words.firstOrNull() ?: return usage("no command")
+    if (command == "rehearse") return rehearse()
+    if (command != "serve" && command != "check-config") return usage("unknown command: $command")
+    val file = line.getOptionValue("config") ?: return usage("$command needs --config FILE")
+    val settings = try {
+        SettingsLoader.load(Path.of(file))
+    } catch (e: SettingsException) {
+        System.err.println("ledgearch: ${e.message}")
+        return EXIT_SETTINGS
+    }
+    if (command == "check-config") return EXIT_OK.also { println(SettingsLoader.print(settings)) }
+    return serve(settings)
+}
+
+private fun serve(settings: Settings): Int? = try {
+    Daemon(settings).start()
+    null
+} catch (e: IOException) {
+    System.err.println("ledgearch: cannot listen on ${settings.listen}: ${e.message}")
+    EXIT_ADDRESS
+}
+
+private fun usage(problem: String): Int {
+    System.err.println("ledgearch: $problem\n\n$USAGE")
+    return EXIT_USAGE
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/cli/Rehearsal.kt
@@ -0,0 +1,32 @@
+package ledgearch.cli
+
+import ledgearch.config.SettingsLoader
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.nio.file.Files
+
+/**
+ * Run by the build to record which classes a starting controller loads, for the class-data-sharing archive:
+ * a controller is started on loopback with nothing behind it, left alone for a moment and ended.
+ */
+internal fun rehearse(): Int {
+    val file = Files.createTempFile("ledgearch", ".json")
+    try {
+        val ports = List(4) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort } }
+        Files.writeString(
+            file,
+            """
+            {"node":"a","area":"z","listen":"127.0.0.1:${ports[0]}","mesh_addr":"127.0.0.1:${ports[1]}","members":[],
+             "outside":{"cloud":"127.0.0.1:${ports[2]}","state":"127.0.0.1:${ports[3]}"},
+             "deployment":{"zones":["z"],"teams":[{"name":"t","cpus":1.0,"cpus_max":2.0}],
+              "workers":{"report_s":3.0,"lease_s":14.0,"cancel_s":39.0},
+              "state":{"rps":100.0,"write_rps":25.0,"value_kb":8.0,"txn_ops":16},"cloud":{"rps":1.5,"list_lag_s":8.0}}}
+            """.trimIndent(),
+        )
+        val settings = SettingsLoader.load(file)
+        RehearsalWorld(settings).play()
+    } finally {
+        Files.deleteIfExists(file)
+    }
+    return 0
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/cli/Version.kt
@@ -0,0 +1,7 @@
+package ledgearch.cli
+
+internal object Version {
+    val text: String by lazy {
+        Version::class.java.getResourceAsStream("/ledgearch-version.txt")?.bufferedReader()?.use { it.readText().trim() } ?: "unknown"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/config/Settings.kt
@@ -0,0 +1,77 @@
+package ledgearch.config
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** The platform's settings file. */
+@Serializable
+data class Settings(
+    val node: String,
+    val area: String = "",
+    val listen: String,
+    @SerialName("mesh_addr") val meshAddress: String,
+    val members: List<Member> = emptyList(),
+    val outside: OutsideAddresses,
+    val deployment: Deployment,
+)
+
+@Serializable
+data class Member(val node: String, val area: String = "", val addr: String)
+
+@Serializable
+data class OutsideAddresses(val cloud: String, val state: String)
+
+@Serializable
+data class Deployment(
+    val zones: List<String> = emptyList(),
+    val teams: List<Team>,
+    val objectives: List<Objective> = emptyList(),
+    val workers: WorkerTimes,
+    val state: StateLimits,
+    val cloud: CloudLimits,
+    val quota: NodeQuota = NodeQuota(),
+    @SerialName("clock_off_ms") val clockOffMs: Double = 0.0,
+)
+
+@Serializable
+data class Team(
+    val name: String,
+    val cpus: Double = 0.0,
+    @SerialName("cpus_max") val cpusMax: Double = 0.0,
+    val gpus: Double = 0.0,
+    @SerialName("gpus_max") val gpusMax: Double = 0.0,
+)
+
+@Serializable
+data class Objective(
+    val kind: String,
+    @SerialName("class") val jobClass: String? = null,
+    @SerialName("within_s") val withinS: Double? = null,
+    val share: Double = 0.0,
+    val times: Double = 1.0,
+)
+
+@Serializable
+data class WorkerTimes(
+    @SerialName("report_s") val reportS: Double,
+    @SerialName("lease_s") val leaseS: Double,
+    @SerialName("cancel_s") val cancelS: Double,
+)
+
+@Serializable
+data class StateLimits(
+    val rps: Double,
+    @SerialName("write_rps") val writeRps: Double,
+    @SerialName("value_kb") val valueKb: Double,
+    @SerialName("txn_ops") val txnOps: Int,
+)
+
+@Serializable
+data class CloudLimits(val rps: Double, @SerialName("list_lag_s") val listLagS: Double = 0.0)
+
+@Serializable
+data class NodeQuota(
+    val cpu: Double = 1.0,
+    @SerialName("memory_mb") val memoryMb: Double = 0.0,
+    @SerialName("fd_limit") val fdLimit: Int = 1024,
+)
--- /dev/null
+++ b/src/main/kotlin/ledgearch/config/SettingsLoader.kt
@@ -0,0 +1,63 @@
+package ledgearch.config
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** A settings file that can't be used; [message] names the file, the field and what is allowed. */
+class SettingsException(message: String) : Exception(message)
+
+object SettingsLoader {
+    private val json = Json { ignoreUnknownKeys = true }
+
+    fun load(path: Path): Settings {
+        val text = try {
+            Files.readString(path)
+        } catch (e: IOException) {
+            throw SettingsException("$path: cannot be read: ${e.message}")
+        }
+        val settings = try {
+            json.decodeFromString(Settings.serializer(), text)
+        } catch (e: SerializationException) {
+            throw SettingsException("$path: ${e.message?.lineSequence()?.first()}")
+        }
+        problem(settings)?.let { throw SettingsException("$path: $it") }
+        return settings
+    }
+
+    /** The settings in effect, defaults included. */
+    fun print(settings: Settings): String = Json { prettyPrint = true; encodeDefaults = true }.encodeToString(Settings.serializer(), settings)
+
+    private fun problem(s: Settings): String? {
+        val deployment = s.deployment
+        val addresses = mapOf(
+            "listen" to s.listen, "mesh_addr" to s.meshAddress,
+            "outside.cloud" to s.outside.cloud, "outside.state" to s.outside.state,
+        ) + s.members.map { "members[${it.node}].addr" to it.addr }
+        for ((field, value) in addresses) {
+            if (!isAddress(value)) return "$field: \"$value\" is not HOST:PORT with a port from 1 to 65535"
+        }
+        if (s.node.isBlank()) return "node: must not be empty"
+        if (deployment.teams.isEmpty()) return "deployment.teams: at least one team is needed"
+        deployment.teams.groupBy { it.name }.values.firstOrNull { it.size > 1 }
+            ?.let { return "deployment.teams: \"${it[0].name}\" is named twice" }
+        val positive = mapOf(
+            "deployment.workers.report_s" to deployment.workers.reportS,
+            "deployment.workers.lease_s" to deployment.workers.leaseS,
+            "deployment.workers.cancel_s" to deployment.workers.cancelS,
+            "deployment.state.rps" to deployment.state.rps,
+            "deployment.state.write_rps" to deployment.state.writeRps,
+            "deployment.state.value_kb" to deployment.state.valueKb,
+            "deployment.state.txn_ops" to deployment.state.txnOps.toDouble(),
+            "deployment.cloud.rps" to deployment.cloud.rps,
+        )
+        return positive.entries.firstOrNull { !(it.value > 0.0) }?.let { "${it.key}: ${it.value} must be above 0" }
+    }
+
+    private fun isAddress(value: String): Boolean {
+        val port = value.substringAfterLast(':', "").toIntOrNull() ?: return false
+        return value.substringBeforeLast(':').isNotEmpty() && port in 1..65535
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/Book.kt
@@ -0,0 +1,227 @@
+package ledgearch.core
+
+import com.github.benmanes.caffeine.cache.Cache
+import com.github.benmanes.caffeine.cache.Caffeine
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonElement
+import ledgearch.Tuning
+import ledgearch.state.Lane
+import ledgearch.state.ReadResult
+import ledgearch.state.StateClient
+import ledgearch.wire.KeyValue
+import ledgearch.wire.News
+import ledgearch.wire.Rack
+import ledgearch.wire.WireJson
+import org.slf4j.LoggerFactory
+
+/** What changed in the watched part of the state service. */
+internal interface BookListener {
+    fun grantChanged()
+
+    fun jobOpened(job: Job)
+
+    fun jobChanged(job: Job)
+
+    fun jobClosed(job: Job?, id: String, state: String)
+
+    fun racksChanged()
+}
+
+/**
+ * Every node's copy of the watched keys: open jobs, the grant, machine types. It is filled by one listing and then
+ * kept by a watch, so changes are seen in the order of their revisions. A copy may be old: what is told to users
+ * is confirmed first, and the holder's right is fenced by its token.
+ */
+internal class Book(private val state: StateClient, private val now: Now, private val listener: BookListener) {
+    private val log = LoggerFactory.getLogger("ledgearch.state")
+    val jobs = LinkedHashMap<String, Job>()
+    private val finals: Cache<String, FinalRecord> =
+        Caffeine.newBuilder().maximumSize(Tuning.FINAL_CACHE).executor(Runnable::run).build()
+    var racks: Map<String, Rack> = emptyMap()
+        private set
+    var grant: GrantRecord? = null
+        private set
+
+    /** Stamp of the grant's key, 0 when it does not exist. */
+    var grantStamp = 0L
+        private set
+
+    /** All changes up to this revision are in the copy. */
+    var revision = 0L
+        private set
+    var loaded = false
+        private set
+    private var reading = false
+    private var retryAt = Long.MIN_VALUE
+
+    fun final(id: String): FinalRecord? = finals.getIfPresent(id)
+
+    fun rememberFinal(id: String, record: FinalRecord) {
+        finals.put(id, record)
+        jobs.remove(id)?.let { listener.jobClosed(it, id, record.st) }
+    }
+
+    /** Reads or watches on whenever neither is under way. */
+    fun drive() {
+        if (reading || now.steady < retryAt) return
+        reading = true
+        if (loaded) watch() else load(Listing(), 0, null)
+    }
+
+    /**
+     * A job that this node made durable in a transaction that also compared its own grant. No other way leads past
+     * the watch: a holder that learnt of a job out of order could start what a newer holder starts too.
+     */
+    fun acceptUnderGrant(record: JobRecord, stamp: Long) = put(record, stamp)
+
+    private fun put(record: JobRecord, stamp: Long) {
+        val id = record.spec.ref
+        val known = jobs[id]
+        when {
+            known == null -> if (final(id) == null) {
+                val job = Job(record, stamp)
+                jobs[id] = job
+                listener.jobOpened(job)
+            }
+            stamp > known.stamp -> {
+                known.stamp = stamp
+                known.record = record
+                listener.jobChanged(known)
+            }
+        }
+    }
+
+    private class Listing {
+        val jobs = ArrayList<KeyValue>()
+        var grant: KeyValue? = null
+        var catalog: KeyValue? = null
+        var firstEdition = -1L
+    }
+
+    /**
+     * Reads the prefixes one after the other; the watch then starts at the edition of the first page. The grant is
+     * read last: jobs read while it still stood were accepted under it.
+     */
+    private fun load(into: Listing, prefix: Int, since: String?) {
+        val prefixes = listOf(Keys.CATALOG, Keys.JOBS, Keys.GRANTS)
+        state.list(prefixes[prefix], since, Lane.VITAL) { result ->
+            if (result !is ReadResult.Found) {
+                fail()
+                return@list
+            }
+            val page = result.value
+            if (into.firstEdition < 0) into.firstEdition = page.edition
+            for (pair in page.pairs) {
+                when {
+                    pair.key.startsWith(Keys.JOBS) -> into.jobs.add(pair)
+                    pair.key == Keys.grant(0) -> into.grant = pair
+                    pair.key == Keys.CATALOG -> into.catalog = pair
+                }
+            }
+            when {
+                page.hasNext && page.pairs.isNotEmpty() -> load(into, prefix, page.pairs.last().key)
+                prefix + 1 < prefixes.size -> load(into, prefix + 1, null)
+                else -> install(into)
+            }
+        }
+    }
+
+    private fun install(listing: Listing) {
+        val listed = listing.jobs.mapTo(HashSet()) { it.key.removePrefix(Keys.JOBS) }
+        // Jobs that are open here and not listed are over, or were accepted after the listing began.
+        val gone = jobs.values.filter { it.id !in listed && it.stamp <= listing.firstEdition }
+        for (job in gone) {
+            jobs.remove(job.id)
+            listener.jobClosed(job, job.id, "")
+        }
+        setGrant(listing.grant?.v, listing.grant?.stamp ?: 0)
+        listing.catalog?.v?.let { setCatalog(it) }
+        for (pair in listing.jobs) putJob(pair.key, pair.v, pair.stamp)
+        revision = listing.firstEdition
+        loaded = true
+        reading = false
+        log.info("read {} open jobs at revision {}", jobs.size, revision)
+        drive()
+    }
+
+    private fun watch() {
+        state.watch(Keys.WATCHED, revision) { result ->
+            when (result) {
+                is ReadResult.Found -> {
+                    result.value.news.forEach(::apply)
+                    if (result.value.edition > revision) revision = result.value.edition
+                    reading = false
+                    drive()
+                }
+                ReadResult.Absent -> {
+                    log.warn("the watch fell behind; reading all keys again")
+                    loaded = false
+                    reading = false
+                    drive()
+                }
+                ReadResult.Failed -> fail()
+            }
+        }
+    }
+
+    private fun fail() {
+        reading = false
+        retryAt = now.steady + Tuning.STATE_RETRY_MS
+    }
+
+    private fun apply(news: News) {
+        val put = news.put
+        val removed = news.remove
+        if (put != null) {
+            when {
+                put.startsWith(Keys.JOBS) -> putJob(put, news.v, news.stamp)
+                put.startsWith(Keys.FINALS) -> decode(FinalRecord.serializer(), news.v)?.let { rememberFinal(put.removePrefix(Keys.FINALS), it) }
+                put == Keys.grant(0) && news.stamp > grantStamp -> setGrant(news.v, news.stamp)
+                put == Keys.CATALOG -> news.v?.let { setCatalog(it) }
+            }
+        } else if (removed != null) {
+            when {
+                removed.startsWith(Keys.JOBS) -> {
+                    val id = removed.removePrefix(Keys.JOBS)
+                    val job = jobs[id]
+                    if (job != null && news.stamp > job.stamp) {
+                        jobs.remove(id)
+                        listener.jobClosed(job, id, "")
+                    }
+                }
+                removed == Keys.grant(0) && news.stamp > grantStamp -> setGrant(null, 0)
+            }
+        }
+        if (news.stamp > revision) revision = news.stamp
+    }
+
+    private fun putJob(key: String, value: JsonElement?, stamp: Long) {
+        val record = decode(JobRecord.serializer(), value) ?: return
+        if (key != Keys.job(record.spec.ref)) return
+        put(record, stamp)
+    }
+
+    private fun setGrant(value: JsonElement?, stamp: Long) {
+        if (stamp == grantStamp) return
+        grant = value?.let { decode(GrantRecord.serializer(), it) }
+        grantStamp = stamp
+        listener.grantChanged()
+    }
+
+    private fun setCatalog(value: JsonElement) {
+        decode(CatalogRecord.serializer(), value)?.let { setRacks(it.racks) }
+    }
+
+    fun setRacks(list: List<Rack>) {
+        racks = list.associateBy { it.label }
+        listener.racksChanged()
+    }
+
+    private fun <T> decode(serializer: DeserializationStrategy<T>, value: JsonElement?): T? = try {
+        value?.let { WireJson.decodeFromJsonElement(serializer, it) }
+    } catch (e: SerializationException) {
+        log.error("a record in the state service can't be read and is left alone: {}", e.message)
+        null
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -0,0 +1,129 @@
+package ledgearch.core
+
+import ledgearch.Tuning
+import ledgearch.config.Settings
+import ledgearch.fleet.Fleet
+import ledgearch.http.Reply
+import ledgearch.http.Request
+import ledgearch.http.Response
+import ledgearch.intake.GrantView
+import ledgearch.intake.Intake
+import ledgearch.leader.Election
+import ledgearch.leader.ElectionListener
+import ledgearch.state.StateClient
+import ledgearch.wire.CheckIn
+import ledgearch.wire.CheckInReply
+import ledgearch.wire.Condition
+import ledgearch.wire.Misdirected
+import ledgearch.wire.WireJson
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+
+/** What the owner is asked to do. */
+internal sealed interface Command {
+    class Serve(val request: Request, val respond: (Response) -> Unit) : Command
+
+    class Answered(val reply: Reply, val done: (Reply) -> Unit) : Command
+}
+
+/**
+ * The one owner of all state of the process. It is given commands in batches with the time, and acts on the
+ * world only through its transport; it knows no sockets, threads or clocks.
+ */
+internal class Controller(settings: Settings, transport: Transport, random: Random, life: Long) {
+    private val log = LoggerFactory.getLogger("ledgearch.core")
+    private val node = settings.node
+    private val now = Now()
+    private val state = StateClient(settings.outside.state, settings.deployment.state, settings.members.size + 1, transport, now)
+    private val book = Book(state, now, BookEvents())
+    private val election: Election = Election(node, life, state, { book }, now, random, ElectionEvents())
+    private val journal = Journal(state, election, book, now)
+    private val fleet: Fleet = Fleet(settings, transport, { election }, { book }, now, { journal })
+    private val holder = Holder(settings, state, transport, election, book, now, journal, fleet)
+    private val intake = Intake(settings.deployment, book, state, GrantEvents(), now)
+
+    init {
+        journal.onClosed = { job, record -> book.rememberFinal(job.id, record) }
+    }
+
+    /** One batch: all commands, then whatever follows from them. */
+    fun run(steadyMs: Long, wallMs: Long, commands: List<Command>) {
+        now.steady = steadyMs
+        now.wall = wallMs
+        for (command in commands) {
+            when (command) {
+                is Command.Serve -> serve(command.request, command.respond)
+                is Command.Answered -> command.done(command.reply)
+            }
+        }
+        book.drive()
+        election.drive()
+        fleet.driveCatalog(election.holding)
+        intake.drive()
+        holder.drive()
+        state.pump()
+    }
+
+    private fun serve(request: Request, respond: (Response) -> Unit) {
+        when (request.path) {
+            "/up" -> respond(if (healthy()) Response(200, "{}") else Intake.error(503, "not ready"))
+            "/checkin" -> if (request.method == "POST") checkIn(request.body, respond) else respond(Intake.error(405, "use POST"))
+            else -> intake.handle(request, respond)
+        }
+    }
+
+    private fun healthy() = book.loaded && book.racks.isNotEmpty() && now.steady - state.lastAnswer < Tuning.STATE_SILENT_MS
+
+    private fun checkIn(body: String, respond: (Response) -> Unit) {
+        val report = try {
+            WireJson.decodeFromString(CheckIn.serializer(), body)
+        } catch (e: IllegalArgumentException) {
+            respond(Intake.error(400, "not a report"))
+            return
+        }
+        val orders = if (election.holding) holder.report(report) else null
+        if (orders != null) {
+            respond(Response(200, WireJson.encodeToString(CheckInReply.serializer(), CheckInReply(election.token, orders))))
+            return
+        }
+        val other = book.grant?.node
+        if (other != null && other != node) {
+            respond(Response(421, WireJson.encodeToString(Misdirected.serializer(), Misdirected(other))))
+        } else {
+            respond(Intake.error(503, "no holder is known"))
+        }
+    }
+
+    private inner class BookEvents : BookListener {
+        override fun grantChanged() {
+            election.grantChanged()
+            log.info("block 0: holder {} by grant {}", book.grant?.node ?: "none", book.grantStamp)
+        }
+
+        override fun jobOpened(job: Job) = holder.jobOpened(job)
+
+        override fun jobChanged(job: Job) = holder.jobChanged(job)
+
+        override fun jobClosed(job: Job?, id: String, state: String) {
+            job?.let(holder::jobClosed)
+            intake.closed(id)
+        }
+
+        override fun racksChanged() = holder.changed()
+    }
+
+    private inner class ElectionEvents : ElectionListener {
+        override fun granted(token: Long, fresh: Boolean) {
+            if (fresh) holder.begin(token)
+        }
+
+        override fun lost() = holder.end()
+    }
+
+    private inner class GrantEvents : GrantView {
+        override val holding get() = election.holding
+        override val condition: Condition get() = election.condition
+
+        override fun verified(sentAt: Long, under: Long) = election.verified(sentAt, under)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/Journal.kt
@@ -0,0 +1,163 @@
+package ledgearch.core
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.JsonElement
+import ledgearch.Tuning
+import ledgearch.leader.Election
+import ledgearch.state.Lane
+import ledgearch.state.StateClient
+import ledgearch.state.TxnResult
+import ledgearch.wire.Change
+import ledgearch.wire.Condition
+import ledgearch.wire.WireJson
+import ledgearch.wire.WorkStates
+import java.util.BitSet
+
+/**
+ * What the holder makes durable, in batches of one transaction at a time, each comparing the holder's own grant:
+ * a transaction that is applied late, after another grant, changes nothing.
+ */
+internal class Journal(private val state: StateClient, private val election: Election, private val book: Book, private val now: Now) {
+    /** One part of a batch: its changes go in together or not at all. */
+    private class Entry(val conditions: List<Condition>, val changes: List<Change>, val done: () -> Unit)
+
+    private var writing = false
+    private var retryAt = Long.MIN_VALUE
+    private val machinePuts = LinkedHashMap<String, Machine>()
+    private val removals = LinkedHashSet<String>()
+    private val closings = LinkedHashMap<String, Pair<Job, String>>()
+    private val progress = LinkedHashMap<String, Job>()
+    private var catalog: CatalogRecord? = null
+    private var catalogPut = false
+
+    /** A job's final record is durable. */
+    var onClosed: (Job, FinalRecord) -> Unit = { _, _ -> }
+
+    /** Completions up to this writing are durable. */
+    var onProgress: (Job) -> Unit = {}
+
+    fun clear() {
+        machinePuts.clear()
+        removals.clear()
+        closings.clear()
+        progress.clear()
+        catalog = null
+    }
+
+    fun bind(machine: Machine) {
+        removals.remove(Keys.machine(machine.name))
+        machinePuts[machine.name] = machine
+    }
+
+    fun remove(key: String) {
+        removals.add(key)
+    }
+
+    fun unbind(machine: Machine) {
+        machinePuts.remove(machine.name)
+        removals.add(Keys.machine(machine.name))
+    }
+
+    fun close(job: Job, state: String) {
+        if (job.closing) return
+        job.closing = true
+        closings[job.id] = job to state
+    }
+
+    fun progress(job: Job) {
+        progress[job.id] = job
+    }
+
+    fun catalog(record: CatalogRecord) {
+        catalog = record
+    }
+
+    fun drive() {
+        if (writing || !election.holding || now.steady < retryAt) return
+        val entries = collect()
+        if (entries.isEmpty()) return
+        writing = true
+        val sentAt = now.steady
+        val under = election.token
+        val conditions = ArrayList<Condition>()
+        conditions.add(election.condition)
+        entries.forEach { conditions.addAll(it.conditions) }
+        state.txn(conditions, entries.flatMap { it.changes }, Lane.ORDINARY) { result ->
+            writing = false
+            when (result) {
+                is TxnResult.Ok -> {
+                    election.verified(sentAt, under)
+                    if (election.holding) entries.forEach { it.done() }
+                }
+                is TxnResult.Conflict -> retryAt = now.steady + if (result.failed.isEmpty()) Tuning.STATE_RETRY_MS else Tuning.TICK_MS
+                else -> retryAt = now.steady + Tuning.STATE_RETRY_MS
+            }
+        }
+    }
+
+    private fun collect(): List<Entry> {
+        val entries = ArrayList<Entry>()
+        var room = state.maxChanges
+        fun add(entry: Entry): Boolean {
+            if (entry.changes.size > room) return false
+            room -= entry.changes.size
+            entries.add(entry)
+            return true
+        }
+        for (m in machinePuts.values) {
+            val value = encode(MachineRecord.serializer(), MachineRecord(0, m.endpoint, m.rack, m.hall, m.borrowed))
+            if (!add(Entry(emptyList(), listOf(Change(put = Keys.machine(m.name), v = value))) { machineWritten(m) })) return entries
+        }
+        for ((id, closing) in closings) {
+            val (job, finalState) = closing
+            // The stamp is compared so that a cancellation marked meanwhile is seen before the job is closed.
+            if (book.jobs[id] !== job) continue
+            val record = FinalRecord(finalState, if (finalState == WorkStates.DONE) job.spec.portions else 0)
+            val changes = listOf(Change(put = Keys.final(id), v = encode(FinalRecord.serializer(), record)), Change(remove = Keys.job(id)))
+            if (!add(Entry(listOf(Condition(Keys.job(id), job.stamp)), changes) { jobClosed(job, record) })) return entries
+        }
+        closings.values.removeAll { (job, _) -> book.jobs[job.id] !== job }
+        for (job in progress.values) {
+            if (job.closing) continue
+            val chunks = chunksOf(job).take(room)
+            if (chunks.isEmpty()) continue
+            val snapshot = job.finished.clone() as BitSet
+            val changes = chunks.map { Change(put = Keys.finished(job.id, it), v = encode(FinishedRecord.serializer(), FinishedRecord(Ranges.encode(job.finished, it)))) }
+            if (!add(Entry(emptyList(), changes) { progressWritten(job, chunks, snapshot) })) return entries
+        }
+        for (key in removals.toList()) {
+            if (!add(Entry(emptyList(), listOf(Change(remove = key))) { removals.remove(key) })) return entries
+        }
+        catalog?.let { record ->
+            add(Entry(emptyList(), listOf(Change(put = Keys.CATALOG, v = encode(CatalogRecord.serializer(), record)))) { if (catalog === record) catalog = null })
+        }
+        return entries
+    }
+
+    private fun chunksOf(job: Job): List<Int> = job.dirtyChunks.stream().toArray().toList()
+
+    private fun machineWritten(m: Machine) {
+        if (machinePuts.remove(m.name, m)) m.durable = true
+    }
+
+    private fun jobClosed(job: Job, record: FinalRecord) {
+        closings.remove(job.id)
+        progress.remove(job.id)
+        job.writtenChunks.stream().forEach { removals.add(Keys.finished(job.id, it)) }
+        onClosed(job, record)
+    }
+
+    private fun progressWritten(job: Job, chunks: List<Int>, snapshot: BitSet) {
+        for (chunk in chunks) {
+            job.writtenChunks.set(chunk)
+            if (Ranges.encode(job.finished, chunk) == Ranges.encode(snapshot, chunk)) job.dirtyChunks.clear(chunk)
+        }
+        // A final record written meanwhile would leave this chunk behind.
+        if (book.jobs[job.id] !== job) chunks.forEach { removals.add(Keys.finished(job.id, it)) }
+        job.recorded.or(snapshot)
+        if (job.dirtyChunks.isEmpty) progress.remove(job.id)
+        onProgress(job)
+    }
+
+    private fun <T> encode(serializer: KSerializer<T>, value: T): JsonElement = WireJson.encodeToJsonElement(serializer, value)
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -0,0 +1,102 @@
+package ledgearch.core
+
+import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap
+import ledgearch.core.placement.MachineQueue
+import ledgearch.wire.Rack
+
+/** A machine of the block, as its holder knows it. */
+internal class Machine(val name: String, val endpoint: String, val rack: Rack, val hall: String, val borrowed: Boolean) {
+    /** The record that binds the machine to the block is in the state service. */
+    var durable = false
+
+    /** Recorded by an earlier holder: until confirmed, any task of an older job may be on it. */
+    var inherited = false
+
+    /** The worker has confirmed the present holder's token: [placements] is all that can be on it. */
+    var confirmed = false
+    var shift = 0L
+    var ticket = 0L
+    var reportTicket = 0L
+    var baton = 0L
+
+    /** All attempts that may be on the machine, by attempt. */
+    val placements = Long2ObjectLinkedOpenHashMap<Placement>()
+    val queue = MachineQueue()
+
+    /** Steady ms of the last news from the worker, and of the last answer that may have renewed its lease. */
+    var heardAt = 0L
+    var answeredAt = 0L
+    var firstHeardAt = 0L
+    var emptySince = 0L
+
+    /** Steady ms at which the cloud takes the machine, or 0. */
+    var recallAt = 0L
+    var pushing = false
+    var pushWanted = false
+
+    /** A direct command went unanswered; none is sent before the worker is heard again. */
+    var pushBroken = false
+    var probeAt = 0L
+
+    /** Nothing new is started: to be emptied and returned. */
+    var draining = false
+    var releasing = false
+    var releaseSent = false
+    var failed = false
+
+    /** Failures in a row by tasks of different jobs. */
+    val errorJobs = LinkedHashSet<String>()
+    var refusedUntil = Long.MIN_VALUE
+
+    /** Images seen here, the last used at the end. */
+    val images = LinkedHashMap<String, Double>()
+
+    var usedCpus = 0.0
+    var usedGpus = 0.0
+    var usedMemory = 0.0
+    var fetching = 0
+
+    fun count() {
+        usedCpus = 0.0
+        usedGpus = 0.0
+        usedMemory = 0.0
+        fetching = 0
+        for (p in placements.values) {
+            if (p.exited) continue
+            if (p.status == TaskStatus.FETCHING || p.status == TaskStatus.DECIDED) fetching++
+            val spec = p.job?.spec
+            usedCpus += spec?.vcpus ?: rack.vcpus
+            usedGpus += spec?.accelerators ?: rack.accelerators
+            usedMemory += spec?.memoryGb ?: rack.memoryGb
+        }
+    }
+
+    fun hasRoom(job: Job): Boolean {
+        val spec = job.spec
+        return usedCpus + spec.vcpus <= rack.vcpus + ROUNDING &&
+            usedGpus + spec.accelerators <= rack.accelerators + ROUNDING &&
+            usedMemory + spec.memoryGb <= rack.memoryGb + ROUNDING
+    }
+
+    /** Type, zone and kind allow tasks of [job]. */
+    fun allows(job: Job): Boolean {
+        val spec = job.spec
+        return (spec.racks == null || rack.label in spec.racks) && (spec.hall == null || spec.hall == hall) && (spec.borrowed || !borrowed)
+    }
+
+    fun touchImage(image: String, gb: Double) {
+        images.remove(image)
+        images[image] = gb
+        var total = images.values.sum()
+        val oldest = images.entries.iterator()
+        while (total > rack.localGb && images.size > 1 && oldest.hasNext()) {
+            total -= oldest.next().value
+            oldest.remove()
+        }
+    }
+
+    companion object {
+        /** Sums of decimal amounts are compared with this much slack. */
+        const val ROUNDING = 1e-6
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/Placement.kt
@@ -0,0 +1,50 @@
+package ledgearch.core
+
+import ledgearch.wire.Causes
+
+internal enum class TaskStatus { DECIDED, FETCHING, RUNNING, SAVING, EXITED }
+
+/** Grace that a stopped task gets. */
+internal enum class Stop { NONE, AT_ONCE, SAVE_FIRST }
+
+/**
+ * One attempt of one task on one machine, from the decision until the attempt is provably gone.
+ * [job] is null for an attempt whose job is not open: it is stopped and cleared.
+ */
+internal class Placement(
+    val job: Job?,
+    val task: String,
+    val index: Int,
+    val attempt: Long,
+    val machine: Machine,
+    val decidedAt: Long,
+) {
+    var status = TaskStatus.DECIDED
+    var cause: String? = null
+    var stop = Stop.NONE
+
+    /** The worker has listed it. */
+    var seen = false
+    var runningSince = 0L
+
+    /** Ticket of the last report whose answer carried the start; such an answer is settled by any later report. */
+    var sentInReplyTo = 0L
+
+    /** A direct command with the start is under way. */
+    var pushOpen = false
+
+    /**
+     * Token of a direct command with the start that was never answered. It may be executed at any later time
+     * until the worker is known to have seen a higher token or has begun a new session.
+     */
+    var lostToken = 0L
+
+    val exited: Boolean get() = status == TaskStatus.EXITED
+    val done: Boolean get() = exited && cause == Causes.DONE
+
+    /** Nothing is lost when the worker forgets it. */
+    val clearable: Boolean get() = exited && (!done || job == null || job.closed || job.recorded.get(index))
+
+    /** No start of this attempt is still on its way. Until then `clear` could let it start a second time. */
+    fun settled(lastReportTicket: Long): Boolean = !pushOpen && lostToken == 0L && lastReportTicket > sentInReplyTo
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/Records.kt
@@ -0,0 +1,49 @@
+package ledgearch.core
+
+import kotlinx.serialization.Serializable
+import ledgearch.wire.Rack
+import ledgearch.wire.WorkRequest
+
+/** What the state service holds; every key of the service is named here. */
+internal object Keys {
+    /** Watched by every node: grants, open jobs, final states, the catalog. */
+    const val WATCHED = "w/"
+    const val GRANTS = "w/g/"
+    const val JOBS = "w/j/"
+    const val FINALS = "w/d/"
+    const val CATALOG = "w/c"
+
+    /** Read only by a new holder. */
+    const val MACHINES = "m/"
+    const val FINISHED = "f/"
+
+    fun grant(block: Int) = "$GRANTS$block"
+    fun job(id: String) = "$JOBS$id"
+    fun final(id: String) = "$FINALS$id"
+    fun machine(name: String) = "$MACHINES$name"
+    fun finished(id: String, chunk: Int) = "$FINISHED$id/$chunk"
+}
+
+/** An accepted, unfinished job. */
+@Serializable
+internal data class JobRecord(val spec: WorkRequest, val at: Long, val cancel: Boolean = false)
+
+/** A job that is over, for ever. */
+@Serializable
+internal data class FinalRecord(val st: String, val n: Int = 0)
+
+/** Who holds a block. The stamp of this record is the block's token. */
+@Serializable
+internal data class GrantRecord(val node: String, val life: Long)
+
+/** A machine of a block, written before anything starts on it. */
+@Serializable
+internal data class MachineRecord(val block: Int, val endpoint: String, val rack: Rack, val hall: String, val borrowed: Boolean)
+
+/** The finished tasks of one chunk of a job, as ranges: `0-3,7`. */
+@Serializable
+internal data class FinishedRecord(val r: String)
+
+/** The last catalog seen, so that a restart while the cloud is out still knows the machine types. */
+@Serializable
+internal data class CatalogRecord(val racks: List<Rack>)
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/Teams.kt
@@ -0,0 +1,69 @@
+package ledgearch.core
+
+import ledgearch.config.Team
+
+/** What each team's tasks may be using at most, and whether more may start. */
+internal class Teams(teams: List<Team>) {
+    private class Use(val team: Team) {
+        var cpus = 0.0
+        var gpus = 0.0
+    }
+
+    private val uses = teams.associate { it.name to Use(it) }
+
+    /** Held by attempts that could be anyone's: unconfirmed machines and attempts of jobs that are over. */
+    private var unknownCpus = 0.0
+    private var unknownGpus = 0.0
+
+    fun recount(machines: Collection<Machine>) {
+        for (use in uses.values) {
+            use.cpus = 0.0
+            use.gpus = 0.0
+        }
+        unknownCpus = 0.0
+        unknownGpus = 0.0
+        for (m in machines) {
+            if (!m.confirmed && m.inherited) {
+                unknownCpus += m.rack.vcpus
+                unknownGpus += m.rack.accelerators
+            }
+            for (p in m.placements.values) {
+                if (p.exited) continue
+                if (p.job == null) {
+                    unknownCpus += m.rack.vcpus
+                    unknownGpus += m.rack.accelerators
+                } else {
+                    add(p.job)
+                }
+            }
+        }
+    }
+
+    fun add(job: Job) {
+        val use = uses[job.spec.crew] ?: return
+        use.cpus += job.spec.vcpus
+        use.gpus += job.spec.accelerators
+    }
+
+    /** One more task of [job] keeps its team within its limit, whatever runs where nothing is known. */
+    fun allows(job: Job): Boolean {
+        val use = uses[job.spec.crew] ?: return false
+        return use.cpus + unknownCpus + job.spec.vcpus <= use.team.cpusMax + Machine.ROUNDING &&
+            use.gpus + unknownGpus + job.spec.accelerators <= use.team.gpusMax + Machine.ROUNDING
+    }
+
+    /** One more task of [job] stays within its team's guarantee. */
+    fun guaranteed(job: Job): Boolean {
+        val use = uses[job.spec.crew] ?: return false
+        return use.cpus + job.spec.vcpus <= use.team.cpus + Machine.ROUNDING &&
+            use.gpus + job.spec.accelerators <= use.team.gpus + Machine.ROUNDING
+    }
+
+    /** How many more tasks of [job] its team's limit allows. */
+    fun roomFor(job: Job): Int {
+        val use = uses[job.spec.crew] ?: return 0
+        val byCpu = if (job.spec.vcpus > 0) (use.team.cpusMax - use.cpus + Machine.ROUNDING) / job.spec.vcpus else Double.MAX_VALUE
+        val byGpu = if (job.spec.accelerators > 0) (use.team.gpusMax - use.gpus + Machine.ROUNDING) / job.spec.accelerators else Double.MAX_VALUE
+        return minOf(byCpu, byGpu).coerceIn(0.0, job.spec.portions.toDouble()).toInt()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -0,0 +1,123 @@
+package ledgearch.core.placement
+
+import ledgearch.core.Job
+import ledgearch.core.Machine
+import ledgearch.core.Now
+import ledgearch.core.Teams
+
+/**
+ * The ordinary path. Machines start the heads of their first-come queues as room shows; new tasks take a machine
+ * with room, else a home machine's queue while it is not overloaded, else the first fitting underloaded buddy on
+ * its preferred list, else they wait unbound. More urgent classes go first.
+ */
+internal class Placer(
+    private val machines: Map<String, Machine>,
+    private val teams: Teams,
+    private val now: Now,
+    private val start: (Job, Int, Machine) -> Unit,
+) {
+    private val bound = HashMap<Job, Int>()
+    private var homeTurn = 0
+
+    fun forget(job: Job) {
+        if (bound.remove(job) == null) return
+        for (m in machines.values) while (m.queue.unbind(job)) Unit
+    }
+
+    fun machinesChanged(gone: Machine) {
+        for (job in gone.queue.snapshot()) unbound(job)
+        gone.queue.clear()
+    }
+
+    /** Counts of machines and teams must be fresh. */
+    fun pass(jobs: Collection<Job>) {
+        val open = jobs.filter { it.trusted && !it.closing && !it.record.cancel && it.pendingCount > 0 && now.steady >= it.notBefore }
+        if (open.isEmpty()) return
+        val usable = machines.values.filter { usable(it) }
+        val lists = PreferredLists(usable)
+        for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
+            val ordered = sameUrgency.sortedWith(compareBy({ !teams.guaranteed(it) }, { it.record.at }, { it.id }))
+            startHeads(usable, sameUrgency.toHashSet())
+            for (job in ordered) while (startOne(job, usable)) Unit
+        }
+        for (job in open.sortedWith(compareBy({ it.urgency }, { it.record.at }))) bindRest(job, usable, lists)
+    }
+
+    private fun usable(m: Machine) =
+        m.durable && m.confirmed && !m.draining && !m.releasing && !m.failed && !m.pushBroken && m.recallAt == 0L && now.steady >= m.refusedUntil
+
+    private fun startHeads(usable: List<Machine>, among: Set<Job>) {
+        for (m in usable) {
+            for (job in m.queue.snapshot()) {
+                if (job !in among || !eligible(job, m)) continue
+                val index = job.nextPending() ?: continue
+                m.queue.unbind(job)
+                unbound(job)
+                start(job, index, m)
+            }
+        }
+    }
+
+    private fun startOne(job: Job, usable: List<Machine>): Boolean {
+        val index = job.nextPending() ?: return false
+        if (!teams.allows(job)) return false
+        val m = usable.filter { eligible(job, it) }.minWithOrNull(preference(job)) ?: return false
+        // A bound task that finds room elsewhere leaves the queue that it waited in.
+        if ((bound[job] ?: 0) >= job.pendingCount) machines.values.firstOrNull { it.queue.unbind(job) }?.let { unbound(job) }
+        start(job, index, m)
+        return true
+    }
+
+    private fun eligible(job: Job, m: Machine): Boolean = m.allows(job) && m.hasRoom(job) && zoneAllowed(job, m.hall) && teams.allows(job)
+
+    /** `samePlace` and `apart`, counting every task that may still be on a machine. */
+    private fun zoneAllowed(job: Job, hall: String): Boolean {
+        if (!job.spec.samePlace && !job.spec.apart) return true
+        var here = 0
+        for (p in job.placements.values) {
+            if (p.machine.hall == hall) here++ else if (job.spec.samePlace) return false
+        }
+        return !job.spec.apart || here < (job.spec.portions + 1) / 2
+    }
+
+    private fun preference(job: Job): Comparator<Machine> {
+        val onMachine = HashMap<Machine, Int>()
+        val inHall = HashMap<String, Int>()
+        if (job.standing) {
+            for (p in job.placements.values) {
+                onMachine.merge(p.machine, 1, Int::plus)
+                inHall.merge(p.machine.hall, 1, Int::plus)
+            }
+        }
+        return compareBy(
+            { inHall[it.hall] ?: 0 },
+            { onMachine[it] ?: 0 },
+            { if (job.spec.recipe in it.images) 0 else 1 },
+            { if (it.borrowed) 0 else 1 },
+            { it.fetching },
+            { it.rack.vcpus - it.usedCpus },
+        )
+    }
+
+    private fun bindRest(job: Job, usable: List<Machine>, lists: PreferredLists) {
+        val fitting = usable.filter { it.allows(job) && zoneAllowed(job, it.hall) }
+        if (fitting.isEmpty()) return
+        var rest = job.pendingCount - (bound[job] ?: 0)
+        while (rest > 0) {
+            val home = fitting[homeTurn++ % fitting.size]
+            val target = if (home.queue.band != Band.OVERLOADED && home.queue.length <= ledgearch.Tuning.TH_V) {
+                home
+            } else {
+                lists.of(home).firstOrNull { it.queue.band == Band.UNDERLOADED && it.allows(job) && zoneAllowed(job, it.hall) } ?: return
+            }
+            target.queue.bind(job)
+            bound.merge(job, 1, Int::plus)
+            rest--
+        }
+    }
+
+    private fun unbound(job: Job) {
+        val left = (bound[job] ?: 0) - 1
+        if (left <= 0) bound.remove(job) else bound[job] = left
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -0,0 +1,280 @@
+package ledgearch.fleet
+
+import kotlinx.serialization.SerializationException
+import ledgearch.Tuning
+import ledgearch.config.Settings
+import ledgearch.core.Book
+import ledgearch.core.CatalogRecord
+import ledgearch.core.Holder
+import ledgearch.core.Job
+import ledgearch.core.Journal
+import ledgearch.core.Machine
+import ledgearch.core.Now
+import ledgearch.core.Transport
+import ledgearch.http.Reply
+import ledgearch.leader.Election
+import ledgearch.state.TokenBucket
+import ledgearch.wire.Catalog
+import ledgearch.wire.ListedStove
+import ledgearch.wire.Rack
+import ledgearch.wire.RentRequest
+import ledgearch.wire.StoveList
+import ledgearch.wire.StoveNames
+import ledgearch.wire.WireJson
+import org.slf4j.LoggerFactory
+
+/** Rents, watches and returns machines. Only the holder of the grant does so; every node may read the catalog. */
+internal class Fleet(
+    settings: Settings,
+    private val transport: Transport,
+    private val election: () -> Election,
+    private val book: () -> Book,
+    private val now: Now,
+    private val journal: () -> Journal,
+) {
+    private class Pool(val rack: Rack, val hall: String, val borrowed: Boolean) {
+        val price: Double get() = (if (borrowed) rack.lowPrice else rack.hourly) / rack.vcpus
+    }
+
+    private class Booting(val pool: Pool, val since: Long)
+
+    private val log = LoggerFactory.getLogger("ledgearch.fleet")
+    private val address = settings.outside.cloud
+    private val listLagMs = (settings.deployment.cloud.listLagS * 1000).toLong()
+    private val bucket = TokenBucket(settings.deployment.cloud.rps * Tuning.BUDGET_USED)
+    private var catalogAt = Long.MIN_VALUE
+    private var catalogBusy = false
+    private var listAt = 0L
+    private var listBusy = false
+    private var planAt = 0L
+    private var renting = false
+    private var rentRetryAt = 0L
+    private var bookingSeq = 0L
+    private val booting = LinkedHashMap<String, Booting>()
+    private val exhausted = HashMap<String, Long>()
+    private val toRelease = LinkedHashSet<String>()
+    private val returned = LinkedHashSet<String>()
+    private var releasing = false
+    private var releaseRetryAt = 0L
+
+    fun end() {
+        booting.clear()
+        toRelease.clear()
+        returned.clear()
+        exhausted.clear()
+        renting = false
+        releasing = false
+        listBusy = false
+    }
+
+    fun isReturned(name: String) = name in returned || name in toRelease
+
+    fun isReleasing(m: Machine) = m.name in toRelease
+
+    fun arrived(m: Machine) {
+        booting.remove(m.name)
+    }
+
+    /** The machine gets nothing more and is given back; once asked for, this is never taken back. */
+    fun release(m: Machine) {
+        m.releasing = true
+        toRelease.add(m.name)
+    }
+
+    // --- Catalog: on every node ---------------------------------------------------------------------------------
+
+    fun driveCatalog(holding: Boolean) {
+        bucket.refill(now.steady)
+        val wanted = book().racks.isEmpty() || holding
+        if (!wanted || catalogBusy || now.steady < catalogAt || !bucket.has(1)) return
+        catalogBusy = true
+        call("GET", "/catalog", null) { reply ->
+            catalogBusy = false
+            val racks = parse(reply) { WireJson.decodeFromString(Catalog.serializer(), it) }?.racks
+            catalogAt = now.steady + if (racks == null) Tuning.CLOUD_RETRY_MS else Tuning.CATALOG_MS
+            if (racks.isNullOrEmpty()) return@call
+            val known = book().racks
+            if (known.keys != racks.mapTo(HashSet()) { it.label } && election().holding) journal().catalog(CatalogRecord(racks))
+            book().setRacks(racks)
+        }
+    }
+
+    // --- The holder's part --------------------------------------------------------------------------------------
+
+    fun drive(holder: Holder) {
+        driveRelease(holder)
+        driveList(holder)
+        if (now.steady < planAt) return
+        planAt = now.steady + Tuning.PLAN_MS
+        plan(holder)
+    }
+
+    private fun driveRelease(holder: Holder) {
+        if (releasing || toRelease.isEmpty() || now.steady < releaseRetryAt || !bucket.has(1)) return
+        val names = toRelease.take(MAX_RELEASE)
+        releasing = true
+        names.forEach { holder.machines[it]?.releaseSent = true }
+        val token = election().token
+        call("POST", "/hosts/release", WireJson.encodeToString(StoveNames.serializer(), StoveNames(names))) { reply ->
+            if (election().token == 0L) return@call
+            releasing = false
+            if (reply.status != 200) {
+                releaseRetryAt = now.steady + Tuning.CLOUD_RETRY_MS
+                return@call
+            }
+            log.info("returned under token {}: {}", token, names)
+            for (name in names) {
+                toRelease.remove(name)
+                returned.add(name)
+                booting.remove(name)
+                holder.machines[name]?.let(holder::machineGone)
+            }
+        }
+    }
+
+    private fun driveList(holder: Holder) {
+        if (listBusy || now.steady < listAt || !bucket.has(1)) return
+        listBusy = true
+        listAt = now.steady + Tuning.LIST_MS
+        listPage(holder, "")
+    }
+
+    private fun listPage(holder: Holder, since: String) {
+        call("GET", "/hosts?since=$since&limit=500", null) { reply ->
+            listBusy = false
+            val list = parse(reply) { WireJson.decodeFromString(StoveList.serializer(), it) } ?: return@call
+            if (!election().holding) return@call
+            list.stoves.forEach { listed(holder, it) }
+            if (list.hasNext && list.stoves.isNotEmpty()) {
+                listBusy = true
+                listPage(holder, list.stoves.last().ref)
+            }
+        }
+    }
+
+    private fun listed(holder: Holder, stove: ListedStove) {
+        val m = holder.machines[stove.ref]
+        if (stove.ref in returned || stove.ref in toRelease) return
+        when (stove.status) {
+            "failed" -> {
+                log.info("machine {} has failed", stove.ref)
+                toRelease.add(stove.ref)
+                if (m != null) {
+                    m.failed = true
+                    holder.machineGone(m)
+                }
+            }
+            "booting" -> if (m == null) {
+                val rack = book().racks[stove.rack] ?: return
+                val patience = rack.startupS * Tuning.BOOT_PATIENCE
+                if (stove.heldS > patience) {
+                    log.info("machine {} does not come up; it is returned", stove.ref)
+                    booting.remove(stove.ref)
+                    toRelease.add(stove.ref)
+                } else if (stove.ref !in booting) {
+                    booting[stove.ref] = Booting(Pool(rack, stove.hall, stove.borrowed), now.steady - (stove.heldS * 1000).toLong())
+                }
+            }
+            else -> Unit
+        }
+    }
+
+    private fun plan(holder: Holder) {
+        for ((name, b) in booting.entries.toList()) {
+            if (now.steady - b.since > b.pool.rack.startupS * 1000 * Tuning.BOOT_PATIENCE + listLagMs) {
+                booting.remove(name)
+                toRelease.add(name)
+            }
+        }
+        val needs = Demand.of(book().jobs.values, holder, now)
+        rentFor(needs)
+        returnIdle(holder, needs)
+    }
+
+    private fun rentFor(needs: List<Demand>) {
+        if (renting || now.steady < rentRetryAt || !bucket.has(1)) return
+        val coming = booting.values.map { Supply(it.pool.rack, it.pool.hall, it.pool.borrowed) }.toMutableList()
+        for (need in needs) {
+            val left = need.unmetBy(coming)
+            if (left <= 0) continue
+            val pool = cheapest(need.job) ?: continue
+            val perMachine = maxOf(1, tasksPerMachine(need.job, pool.rack))
+            rent(pool, ((left + perMachine - 1) / perMachine).coerceIn(1, Tuning.RENT_AT_ONCE))
+            return
+        }
+    }
+
+    private fun tasksPerMachine(job: Job, rack: Rack): Int {
+        val spec = job.spec
+        val byCpu = if (spec.vcpus > 0) rack.vcpus / spec.vcpus else Double.MAX_VALUE
+        val byMemory = if (spec.memoryGb > 0) rack.memoryGb / spec.memoryGb else Double.MAX_VALUE
+        return minOf(byCpu, byMemory, 1e6).toInt()
+    }
+
+    private fun cheapest(job: Job): Pool? {
+        val spec = job.spec
+        val pools = book().racks.values
+            .filter { (spec.racks == null || it.label in spec.racks) && tasksPerMachine(job, it) > 0 }
+            .flatMap { rack ->
+                rack.halls.filter { spec.hall == null || spec.hall == it }.flatMap { hall ->
+                    if (spec.borrowed) listOf(Pool(rack, hall, true), Pool(rack, hall, false)) else listOf(Pool(rack, hall, false))
+                }
+            }
+            .filter { now.steady >= (exhausted[key(it)] ?: Long.MIN_VALUE) }
+        return pools.minWithOrNull(compareBy({ it.price }, { p -> booting.values.count { it.pool.hall == p.hall } }))
+    }
+
+    private fun key(p: Pool) = "${p.rack.label}/${p.hall}/${p.borrowed}"
+
+    private fun rent(pool: Pool, count: Int) {
+        renting = true
+        // The token is this grant's alone, so no other node and no later life of this one ever uses the name again.
+        val booking = "b-${election().token}-${++bookingSeq}"
+        val body = WireJson.encodeToString(RentRequest.serializer(), RentRequest(booking, pool.rack.label, pool.hall, pool.borrowed, count))
+        call("POST", "/hosts", body) { reply ->
+            renting = false
+            when (reply.status) {
+                200 -> {
+                    val names = parse(reply) { WireJson.decodeFromString(StoveNames.serializer(), it) }?.stoves.orEmpty()
+                    log.info("rented {} of {} {} in {}{}", names.size, count, pool.rack.label, pool.hall, if (pool.borrowed) " (spot)" else "")
+                    for (name in names) booting.putIfAbsent(name, Booting(pool, now.steady))
+                    if (names.size < count) exhausted[key(pool)] = now.steady + Tuning.NO_CAPACITY_MS
+                }
+                503 -> if ("no capacity" in reply.body) exhausted[key(pool)] = now.steady + Tuning.NO_CAPACITY_MS else rentRetryAt = now.steady + Tuning.CLOUD_RETRY_MS
+                // Without an answer machines may have been rented; they show in the list and in their reports.
+                else -> rentRetryAt = now.steady + Tuning.CLOUD_RETRY_MS
+            }
+        }
+    }
+
+    private fun returnIdle(holder: Holder, needs: List<Demand>) {
+        for (m in holder.machines.values) if (m.placements.isNotEmpty()) m.emptySince = now.steady
+        val empty = holder.machines.values.filter { it.placements.isEmpty() && it.confirmed && !it.releasing }
+        for (m in empty.filter { it.draining }) release(m)
+        if (needs.isNotEmpty()) return
+        val idle = empty.filter { !it.draining && now.steady - it.emptySince > Tuning.IDLE_KEEP_MS }
+        val spare = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining }.sumOf { it.rack.vcpus - it.usedCpus }
+        val dearest = idle.maxByOrNull { (if (it.borrowed) it.rack.lowPrice else it.rack.hourly) / it.rack.vcpus } ?: return
+        val used = holder.machines.values.sumOf { it.usedCpus }
+        if (spare - dearest.rack.vcpus >= maxOf(used * Tuning.SPARE_SHARE, dearest.rack.vcpus)) {
+            log.info("machine {} has been idle; it is returned", dearest.name)
+            release(dearest)
+        }
+    }
+
+    private fun call(method: String, target: String, body: String?, done: (Reply) -> Unit) {
+        bucket.take(1)
+        transport.call(address, method, target, body, Tuning.CLOUD_MS, done)
+    }
+
+    private inline fun <T> parse(reply: Reply, decode: (String) -> T): T? = if (reply.status != 200) null else try {
+        decode(reply.body)
+    } catch (e: SerializationException) {
+        log.warn("the cloud's answer makes no sense: {}", e.message)
+        null
+    }
+
+    private companion object {
+        const val MAX_RELEASE = 100
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/http/HttpClient.kt
@@ -0,0 +1,107 @@
+package ledgearch.http
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import ledgearch.Tuning
+import java.io.IOException
+import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
+import java.nio.channels.AsynchronousChannelGroup
+import java.nio.channels.AsynchronousSocketChannel
+
+/** Calls to others over kept-alive connections, a small pool for each address. Used from one thread only. */
+internal class HttpClient(private val group: AsynchronousChannelGroup) {
+    private class Pooled(val channel: AsynchronousSocketChannel, val reader: MessageReader, var idleSince: Long)
+
+    private val idle = HashMap<String, ArrayDeque<Pooled>>()
+
+    /** One exchange. Never repeated here: only the caller knows whether a repeat is safe. */
+    suspend fun call(address: String, method: String, target: String, body: String?, timeoutMs: Long): Reply {
+        var connection: Pooled? = null
+        var reusable = false
+        try {
+            return withTimeoutOrNull(timeoutMs) {
+                val c = take(address) ?: open(address)
+                connection = c
+                send(c, address, method, target, body)
+                val (reply, keep) = receive(c)
+                reusable = keep
+                reply
+            } ?: Reply.NONE
+        } catch (e: CancellationException) {
+            throw e
+        } catch (_: IOException) {
+            return Reply.NONE
+        } catch (_: BadMessage) {
+            return Reply.NONE
+        } finally {
+            connection?.let { if (reusable) put(address, it) else it.channel.closeQuietly() }
+        }
+    }
+
+    /** Closes connections that nobody used for a while. */
+    fun sweep() {
+        val now = System.nanoTime() / 1_000_000
+        val lists = idle.values.iterator()
+        while (lists.hasNext()) {
+            val list = lists.next()
+            while (list.isNotEmpty() && now - list.first().idleSince > Tuning.POOLED_IDLE_MS) list.removeFirst().channel.closeQuietly()
+            if (list.isEmpty()) lists.remove()
+        }
+    }
+
+    private fun take(address: String): Pooled? {
+        val list = idle[address] ?: return null
+        val now = System.nanoTime() / 1_000_000
+        while (list.isNotEmpty()) {
+            val c = list.removeLast()
+            if (now - c.idleSince <= Tuning.POOLED_IDLE_MS) return c
+            c.channel.closeQuietly()
+        }
+        return null
+    }
+
+    private fun put(address: String, c: Pooled) {
+        c.idleSince = System.nanoTime() / 1_000_000
+        idle.getOrPut(address) { ArrayDeque() }.addLast(c)
+    }
+
+    private suspend fun open(address: String): Pooled {
+        val channel = AsynchronousSocketChannel.open(group)
+        try {
+            withTimeoutOrNull(Tuning.CONNECT_MS) { channel.connectTo(parseAddress(address)); true }
+                ?: throw IOException("no connection")
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+        } catch (e: Exception) {
+            channel.closeQuietly()
+            throw e
+        }
+        return Pooled(channel, MessageReader(Tuning.MAX_RESPONSE), 0)
+    }
+
+    private suspend fun send(c: Pooled, address: String, method: String, target: String, body: String?) {
+        val text = StringBuilder(160).append(method).append(' ').append(target).append(" HTTP/1.1\r\nHost: ").append(address).append("\r\n")
+        val bytes = body?.toByteArray()
+        if (bytes != null) text.append("Content-Type: application/json\r\nContent-Length: ").append(bytes.size).append("\r\n")
+        val head = text.append("\r\n").toString().toByteArray(Charsets.ISO_8859_1)
+        val out = ByteBuffer.allocate(head.size + (bytes?.size ?: 0)).put(head)
+        bytes?.let { out.put(it) }
+        c.channel.writeAll(out.flip(), Tuning.WRITE_MS)
+    }
+
+    private suspend fun receive(c: Pooled): Pair<Reply, Boolean> {
+        val buffer = ByteBuffer.allocate(Tuning.READ_BUFFER * 2)
+        while (true) {
+            val head = c.reader.head()
+            val body = if (head != null) c.reader.body() else null
+            if (head != null && body != null) {
+                val status = head.startLine.split(' ').getOrNull(1)?.toIntOrNull() ?: throw BadMessage(400, "bad status line")
+                return Reply(status, body) to (!head.close && c.reader.isEmpty)
+            }
+            buffer.clear()
+            val n = c.channel.readSome(buffer, Tuning.WATCH_MS * 2)
+            if (n < 0) throw IOException("closed")
+            c.reader.append(buffer.array(), n)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/http/HttpServer.kt
@@ -0,0 +1,132 @@
+package ledgearch.http
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import ledgearch.Tuning
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
+import java.nio.channels.AsynchronousChannelGroup
+import java.nio.channels.AsynchronousServerSocketChannel
+import java.nio.channels.AsynchronousSocketChannel
+
+/**
+ * Serves HTTP/1.1 on one address: one coroutine a connection, at most [maxConnections] of them.
+ * While that many are open no further one is accepted, so the kernel's small queue holds callers back.
+ */
+internal class HttpServer(
+    private val scope: CoroutineScope,
+    private val group: AsynchronousChannelGroup,
+    private val maxConnections: Int,
+    private val handler: suspend (Request) -> Response,
+) {
+    private val log = LoggerFactory.getLogger("ledgearch.http")
+    private var open = 0
+
+    /** Binds at once (throws when the address is taken), then accepts until cancelled. */
+    fun start(address: String): Job {
+        val server = AsynchronousServerSocketChannel.open(group)
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        server.bind(parseAddress(address), Tuning.ACCEPT_BACKLOG)
+        return scope.launch {
+            while (true) {
+                if (open >= maxConnections) {
+                    delay(Tuning.TICK_MS)
+                    continue
+                }
+                val channel = try {
+                    server.acceptNext()
+                } catch (e: IOException) {
+                    log.warn("accept failed: {}", e.message)
+                    delay(Tuning.TICK_MS)
+                    continue
+                }
+                open++
+                scope.launch {
+                    try {
+                        serve(channel)
+                    } catch (e: CancellationException) {
+                        throw e
+                    } catch (_: IOException) {
+                        // The caller went away or was too slow; it will come back by itself.
+                    } finally {
+                        open--
+                        channel.closeQuietly()
+                    }
+                }
+            }
+        }
+    }
+
+    private suspend fun serve(channel: AsynchronousSocketChannel) {
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+        val reader = MessageReader(Tuning.MAX_BODY)
+        val buffer = ByteBuffer.allocate(Tuning.READ_BUFFER)
+        while (true) {
+            val request = try {
+                nextRequest(channel, reader, buffer) ?: return
+            } catch (e: BadMessage) {
+                log.debug("bad request: {}", e.message)
+                send(channel, Response(e.status, """{"error":"${e.message}"}"""), keepAlive = false)
+                return
+            }
+            val response = handler(request)
+            send(channel, response, request.keepAlive)
+            if (!request.keepAlive) return
+        }
+    }
+
+    private suspend fun nextRequest(channel: AsynchronousSocketChannel, reader: MessageReader, buffer: ByteBuffer): Request? {
+        var startedAt = if (reader.isEmpty) 0L else System.nanoTime()
+        while (true) {
+            val head = reader.head()
+            val body = if (head != null) reader.body() else null
+            if (head != null && body != null) {
+                val parts = head.startLine.split(' ')
+                if (parts.size != 3 || !parts[2].startsWith("HTTP/1.") || !parts[1].startsWith("/")) throw BadMessage(400, "bad request line")
+                return Request(parts[0], parts[1], body, !head.close)
+            }
+            val timeout = if (startedAt == 0L) {
+                Tuning.IDLE_MS
+            } else {
+                Tuning.SLOW_REQUEST_MS - (System.nanoTime() - startedAt) / 1_000_000
+            }
+            if (timeout <= 0) throw BadMessage(408, "request too slow")
+            buffer.clear()
+            val n = channel.readSome(buffer, timeout)
+            if (n < 0) return null
+            if (startedAt == 0L) startedAt = System.nanoTime()
+            reader.append(buffer.array(), n)
+        }
+    }
+
+    private suspend fun send(channel: AsynchronousSocketChannel, response: Response, keepAlive: Boolean) {
+        val body = response.body.toByteArray()
+        val head = StringBuilder(128)
+            .append("HTTP/1.1 ").append(response.status).append(' ').append(reason(response.status)).append("\r\n")
+            .append("Content-Type: application/json\r\nContent-Length: ").append(body.size).append("\r\n")
+        response.retryAfterS?.let { head.append("Retry-After: ").append(it).append("\r\n") }
+        if (!keepAlive) head.append("Connection: close\r\n")
+        head.append("\r\n")
+        val headBytes = head.toString().toByteArray(Charsets.ISO_8859_1)
+        val out = ByteBuffer.allocate(headBytes.size + body.size).put(headBytes).put(body).flip()
+        channel.writeAll(out, Tuning.WRITE_MS)
+    }
+
+    private fun reason(status: Int) = when (status) {
+        200 -> "OK"
+        201 -> "Created"
+        400 -> "Bad Request"
+        404 -> "Not Found"
+        405 -> "Method Not Allowed"
+        421 -> "Misdirected Request"
+        422 -> "Unprocessable Content"
+        429 -> "Too Many Requests"
+        503 -> "Service Unavailable"
+        else -> "Status"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/http/MessageReader.kt
@@ -0,0 +1,120 @@
+package ledgearch.http
+
+import ledgearch.Tuning
+
+/** The head of a message: its first line and the few header fields that matter here. */
+internal class Head(val startLine: String, val contentLength: Int, val chunked: Boolean, val close: Boolean)
+
+/**
+ * An incremental HTTP/1.1 reader over one growing buffer. Bytes are appended as they come, in any splits;
+ * [head] and [body] return null until enough is there. The buffer never exceeds head and body limits.
+ */
+internal class MessageReader(private val maxBody: Int) {
+    private var bytes = ByteArray(Tuning.READ_BUFFER)
+    private var end = 0
+    private var scanned = 0
+    private var bodyStart = -1
+    private var head: Head? = null
+    private val chunks = StringBuilder()
+    private var chunkAt = -1
+
+    val isEmpty: Boolean get() = end == 0
+
+    fun append(source: ByteArray, length: Int) {
+        if (end + length > bytes.size) {
+            bytes = bytes.copyOf(maxOf(bytes.size * 2, end + length))
+        }
+        source.copyInto(bytes, end, 0, length)
+        end += length
+    }
+
+    fun head(): Head? {
+        head?.let { return it }
+        while (scanned + 3 < end) {
+            if (bytes[scanned] == CR && bytes[scanned + 1] == LF && bytes[scanned + 2] == CR && bytes[scanned + 3] == LF) {
+                bodyStart = scanned + 4
+                return parseHead(String(bytes, 0, scanned, Charsets.ISO_8859_1)).also { head = it }
+            }
+            scanned++
+            if (scanned > Tuning.MAX_HEAD) throw BadMessage(431, "header too large")
+        }
+        return null
+    }
+
+    /** The body once all of it is here; consumes the message. */
+    fun body(): String? {
+        val h = head() ?: return null
+        if (h.chunked) return chunkedBody()
+        if (h.contentLength > maxBody) throw BadMessage(413, "body too large")
+        val bodyEnd = bodyStart + h.contentLength
+        if (end < bodyEnd) return null
+        val text = String(bytes, bodyStart, h.contentLength, Charsets.UTF_8)
+        consume(bodyEnd)
+        return text
+    }
+
+    private fun chunkedBody(): String? {
+        if (chunkAt < 0) chunkAt = bodyStart
+        while (true) {
+            val lineEnd = findLineEnd(chunkAt) ?: return null
+            val size = String(bytes, chunkAt, lineEnd - chunkAt, Charsets.ISO_8859_1)
+                .substringBefore(';').trim().toIntOrNull(16) ?: throw BadMessage(400, "bad chunk size")
+            if (size < 0 || chunks.length + size > maxBody) throw BadMessage(413, "body too large")
+            val next = lineEnd + 2 + size + 2
+            if (end < next) return null
+            if (size == 0) {
+                consume(next)
+                return chunks.toString().also { chunks.setLength(0) }
+            }
+            chunks.append(String(bytes, lineEnd + 2, size, Charsets.UTF_8))
+            chunkAt = next
+        }
+    }
+
+    private fun findLineEnd(from: Int): Int? {
+        for (i in from until end - 1) if (bytes[i] == CR && bytes[i + 1] == LF) return i
+        if (end - from > MAX_CHUNK_LINE) throw BadMessage(400, "bad chunk size")
+        return null
+    }
+
+    private fun consume(upTo: Int) {
+        bytes.copyInto(bytes, 0, upTo, end)
+        end -= upTo
+        scanned = 0
+        bodyStart = -1
+        chunkAt = -1
+        head = null
+        if (end == 0 && bytes.size > Tuning.READ_BUFFER * 4) bytes = ByteArray(Tuning.READ_BUFFER)
+    }
+
+    private fun parseHead(text: String): Head {
+        val lines = text.split("\r\n")
+        var length = 0
+        var chunked = false
+        var close = lines[0].endsWith("HTTP/1.0")
+        for (i in 1 until lines.size) {
+            val line = lines[i]
+            val colon = line.indexOf(':')
+            if (colon <= 0) throw BadMessage(400, "bad header line")
+            val value = line.substring(colon + 1).trim()
+            when (line.substring(0, colon).lowercase()) {
+                "content-length" -> {
+                    if (value.isEmpty() || !value.all { it in '0'..'9' }) throw BadMessage(400, "bad content length")
+                    length = value.toIntOrNull() ?: throw BadMessage(413, "body too large")
+                }
+                "transfer-encoding" -> {
+                    if (!value.equals("chunked", ignoreCase = true)) throw BadMessage(501, "unknown transfer encoding")
+                    chunked = true
+                }
+                "connection" -> if (value.equals("close", ignoreCase = true)) close = true
+            }
+        }
+        return Head(lines[0], length, chunked, close)
+    }
+
+    private companion object {
+        const val CR = '\r'.code.toByte()
+        const val LF = '\n'.code.toByte()
+        const val MAX_CHUNK_LINE = 64
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/http/Nio.kt
@@ -0,0 +1,59 @@
+package ledgearch.http
+
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.suspendCancellableCoroutine
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.nio.ByteBuffer
+import java.nio.channels.AsynchronousServerSocketChannel
+import java.nio.channels.AsynchronousSocketChannel
+import java.nio.channels.CompletionHandler
+import java.util.concurrent.TimeUnit
+import kotlin.coroutines.resume
+import kotlin.coroutines.resumeWithException
+
+/** NIO.2 completion handlers as suspending calls. */
+private class Resume<T> : CompletionHandler<T, CancellableContinuation<T>> {
+    override fun completed(result: T, continuation: CancellableContinuation<T>) = continuation.resume(result)
+    override fun failed(cause: Throwable, continuation: CancellableContinuation<T>) = continuation.resumeWithException(cause)
+}
+
+private val resumeInt = Resume<Int>()
+private val resumeChannel = Resume<AsynchronousSocketChannel>()
+private val resumeVoid = Resume<Void?>()
+
+internal suspend fun AsynchronousServerSocketChannel.acceptNext(): AsynchronousSocketChannel =
+    suspendCancellableCoroutine { accept(it, resumeChannel) }
+
+internal suspend fun AsynchronousSocketChannel.connectTo(address: InetSocketAddress) {
+    suspendCancellableCoroutine<Void?> {
+        it.invokeOnCancellation { closeQuietly() }
+        connect(address, it, resumeVoid)
+    }
+}
+
+internal suspend fun AsynchronousSocketChannel.readSome(buffer: ByteBuffer, timeoutMs: Long): Int =
+    suspendCancellableCoroutine {
+        it.invokeOnCancellation { closeQuietly() }
+        read(buffer, timeoutMs, TimeUnit.MILLISECONDS, it, resumeInt)
+    }
+
+internal suspend fun AsynchronousSocketChannel.writeAll(buffer: ByteBuffer, timeoutMs: Long) {
+    while (buffer.hasRemaining()) {
+        suspendCancellableCoroutine<Int> {
+            it.invokeOnCancellation { closeQuietly() }
+            write(buffer, timeoutMs, TimeUnit.MILLISECONDS, it, resumeInt)
+        }
+    }
+}
+
+internal fun AutoCloseable.closeQuietly() {
+    try {
+        close()
+    } catch (_: IOException) {
+        // Nothing more can be done for it.
+    }
+}
+
+internal fun parseAddress(text: String): InetSocketAddress =
+    InetSocketAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
--- /dev/null
+++ b/src/main/kotlin/ledgearch/leader/Election.kt
@@ -0,0 +1,202 @@
+package ledgearch.leader
+
+import kotlinx.serialization.json.JsonElement
+import ledgearch.Tuning
+import ledgearch.core.Book
+import ledgearch.core.GrantRecord
+import ledgearch.core.Keys
+import ledgearch.core.Now
+import ledgearch.state.Lane
+import ledgearch.state.StateClient
+import ledgearch.state.TxnResult
+import ledgearch.wire.Change
+import ledgearch.wire.Condition
+import ledgearch.wire.WireJson
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+
+internal interface ElectionListener {
+    /** This node holds the block under [token]. [fresh]: by a new grant, not by a renewed token of its own. */
+    fun granted(token: Long, fresh: Boolean)
+
+    fun lost()
+}
+
+/**
+ * One key a block, attached to a lease of its holder. The key's stamp is the token: it rises with every grant.
+ * Whoever sees the key missing writes it; the state service lets one writer through. Safety never hangs on the
+ * lease: workers follow the highest token only, and a new holder waits for their confirmation.
+ */
+internal class Election(
+    private val node: String,
+    private val life: Long,
+    private val state: StateClient,
+    private val book: () -> Book,
+    private val now: Now,
+    private val random: Random,
+    private val listener: ElectionListener,
+) {
+    private val log = LoggerFactory.getLogger("ledgearch.leader")
+    private var permit = 0L
+    private var leaseBusy = false
+    private var touchAt = 0L
+    private var claiming = false
+    private var claimAt = 0L
+    private var standBackUntil = Long.MIN_VALUE
+
+    /** The token under which this node holds the block, 0 when it does not. */
+    var token = 0L
+        private set
+
+    /** The grant was still this node's at this steady ms. */
+    var verifiedAt = Long.MIN_VALUE
+        private set
+
+    /** Steady ms of the last fresh grant. */
+    var grantedAt = 0L
+        private set
+    private var verifying = false
+    private var verifyTryAt = 0L
+    private var bumping = false
+    private var bumpedAt = Long.MIN_VALUE / 2
+
+    val holding: Boolean get() = token != 0L
+    val condition: Condition get() = Condition(Keys.grant(0), token)
+
+    /** A transaction with [condition] sent at [sentAt] under [under] went through. */
+    fun verified(sentAt: Long, under: Long) {
+        if (under == token && sentAt > verifiedAt) verifiedAt = sentAt
+    }
+
+    /** The book has news of the grant. */
+    fun grantChanged() {
+        val b = book()
+        if (holding && !bumping && b.grantStamp > token) lose("another grant was made: ${b.grant?.node}")
+        if (holding && !bumping && b.grantStamp == 0L && b.revision >= token) lose("the grant's lease ran out")
+        claimAt = now.steady + random.nextLong(Tuning.ELECTION_SPREAD_MS)
+    }
+
+    fun lose(why: String) {
+        if (!holding) return
+        log.warn("block 0: grant {} lost: {}", token, why)
+        token = 0
+        bumping = false
+        listener.lost()
+    }
+
+    /** Gives the block up so that a node that can serve it takes it. */
+    fun giveUp(why: String) {
+        if (!holding) return
+        val old = token
+        standBackUntil = now.steady + Tuning.STAND_BACK_MS
+        lose(why)
+        withdrawGrant(old)
+    }
+
+    private fun withdrawGrant(stamp: Long) {
+        state.txn(listOf(Condition(Keys.grant(0), stamp)), listOf(Change(remove = Keys.grant(0))), Lane.VITAL) { }
+    }
+
+    fun drive() {
+        driveLease()
+        val b = book()
+        if (!b.loaded || permit == 0L) return
+        if (holding) {
+            driveVerify()
+            return
+        }
+        val mine = b.grant?.node == node
+        if (claiming || now.steady < claimAt || !(mine || b.grantStamp == 0L)) return
+        if (now.steady >= standBackUntil) {
+            // Free, or left by an earlier life of this node, or by a claim whose answer was lost.
+            claim(b.grantStamp)
+        } else if (mine) {
+            claimAt = now.steady + Tuning.STATE_RETRY_MS
+            withdrawGrant(b.grantStamp)
+        }
+    }
+
+    /** A new token for the same holder: fences direct commands that were lost on their way. */
+    fun bump() {
+        if (!holding || bumping || now.steady - bumpedAt < Tuning.BUMP_MS) return
+        bumping = true
+        bumpedAt = now.steady
+        val old = token
+        state.txn(listOf(condition), listOf(put()), Lane.VITAL) { result ->
+            if (token != old || !bumping) return@txn
+            bumping = false
+            when (result) {
+                is TxnResult.Ok -> {
+                    log.info("block 0: token {} replaces {}", result.edition, old)
+                    token = result.edition
+                    listener.granted(token, fresh = false)
+                }
+                is TxnResult.Conflict -> lose("another grant was made")
+                // Perhaps written: the book will show a newer grant and this one is given up as lost.
+                TxnResult.Unknown -> if (book().grantStamp > token) lose("a renewed token was not confirmed")
+                TxnResult.NoLease, TxnResult.Refused -> Unit
+            }
+        }
+    }
+
+    private fun put() = Change(put = Keys.grant(0), v = record(), permit = permit)
+
+    private fun record(): JsonElement = WireJson.encodeToJsonElement(GrantRecord.serializer(), GrantRecord(node, life))
+
+    private fun claim(stamp: Long) {
+        claiming = true
+        val sentAt = now.steady
+        state.txn(listOf(Condition(Keys.grant(0), stamp)), listOf(put()), Lane.VITAL) { result ->
+            claiming = false
+            when (result) {
+                is TxnResult.Ok -> {
+                    val b = book()
+                    // The watch may already have shown what came after.
+                    if (b.grantStamp > result.edition || (b.grantStamp == 0L && b.revision > result.edition)) return@txn
+                    token = result.edition
+                    verifiedAt = sentAt
+                    grantedAt = now.steady
+                    log.info("block 0: granted to this node under token {}", token)
+                    listener.granted(token, fresh = true)
+                }
+                TxnResult.NoLease -> permit = 0
+                else -> claimAt = now.steady + Tuning.STATE_RETRY_MS + random.nextLong(Tuning.ELECTION_SPREAD_MS)
+            }
+        }
+    }
+
+    private fun driveLease() {
+        if (leaseBusy || now.steady < touchAt) return
+        leaseBusy = true
+        touchAt = now.steady + Tuning.TOUCH_MS
+        if (permit == 0L) {
+            state.openLease { new ->
+                leaseBusy = false
+                permit = new ?: 0
+                if (new == null) touchAt = now.steady + Tuning.STATE_RETRY_MS
+            }
+        } else {
+            state.touch(permit) { alive ->
+                leaseBusy = false
+                if (alive == false) permit = 0
+                if (alive != true) touchAt = now.steady + Tuning.STATE_RETRY_MS
+            }
+        }
+    }
+
+    private fun driveVerify() {
+        if (verifying || bumping || now.steady - verifiedAt < Tuning.VERIFY_MS || now.steady < verifyTryAt) return
+        verifying = true
+        verifyTryAt = now.steady + Tuning.STATE_RETRY_MS
+        val under = token
+        val sentAt = now.steady
+        state.txn(listOf(condition), emptyList(), Lane.VITAL) { result ->
+            verifying = false
+            when (result) {
+                is TxnResult.Ok -> verified(sentAt, under)
+                is TxnResult.Conflict -> if (token == under && !bumping) lose("the grant is not this node's any more")
+                else -> Unit
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/state/StateClient.kt
@@ -0,0 +1,188 @@
+package ledgearch.state
+
+import kotlinx.serialization.SerializationException
+import ledgearch.Tuning
+import ledgearch.config.StateLimits
+import ledgearch.core.Now
+import ledgearch.core.Transport
+import ledgearch.http.Reply
+import ledgearch.wire.Change
+import ledgearch.wire.Condition
+import ledgearch.wire.KeyPage
+import ledgearch.wire.KeyValue
+import ledgearch.wire.LeaseReply
+import ledgearch.wire.LeaseRequest
+import ledgearch.wire.NewsPage
+import ledgearch.wire.Txn
+import ledgearch.wire.TxnReply
+import ledgearch.wire.WireJson
+
+internal sealed interface TxnResult {
+    data class Ok(val edition: Long) : TxnResult
+
+    data class Conflict(val failed: List<String>) : TxnResult
+
+    /** Surely not executed. */
+    data object Refused : TxnResult
+
+    /** The lease of a put is gone. */
+    data object NoLease : TxnResult
+
+    /** No answer: executed, or not, or yet to be. */
+    data object Unknown : TxnResult
+}
+
+/** What a read brought; [Failed] says nothing about the store. */
+internal sealed interface ReadResult<out T> {
+    data class Found<T>(val value: T) : ReadResult<T>
+
+    data object Absent : ReadResult<Nothing>
+
+    data object Failed : ReadResult<Nothing>
+}
+
+internal enum class Lane { VITAL, ORDINARY }
+
+/**
+ * Requests to the state service within this node's part of its limits. What doesn't fit waits in a lane,
+ * vital ones first; what has waited too long is refused.
+ */
+internal class StateClient(
+    private val address: String,
+    private val limits: StateLimits,
+    private val nodes: Int,
+    private val transport: Transport,
+    private val now: Now,
+) {
+    private class Waiting(
+        val writes: Int,
+        val since: Long,
+        val method: String,
+        val target: String,
+        val body: String?,
+        val timeoutMs: Long,
+        val done: (Reply) -> Unit,
+    )
+
+    private val requests = TokenBucket(limits.rps)
+    private val writes = TokenBucket(limits.writeRps)
+    private val lanes = Lane.entries.associateWith { ArrayDeque<Waiting>() }
+    private var pausedUntil = Long.MIN_VALUE
+
+    /** When the service last answered anything but a refusal (steady ms). */
+    var lastAnswer = Long.MIN_VALUE / 2
+        private set
+
+    init {
+        share(holder = false)
+    }
+
+    /** The holder of the block writes most and gets the larger part of the budget. */
+    fun share(holder: Boolean) {
+        val part = when {
+            nodes <= 1 -> 1.0
+            holder -> Tuning.HOLDER_SHARE
+            else -> (1 - Tuning.HOLDER_SHARE) / (nodes - 1)
+        }
+        requests.perSecond = limits.rps * Tuning.BUDGET_USED * part
+        writes.perSecond = limits.writeRps * Tuning.BUDGET_USED * part
+    }
+
+    val maxChanges: Int get() = limits.txnOps
+    val maxConditions: Int get() = limits.txnOps * 4
+    val backlog: Int get() = lanes.getValue(Lane.ORDINARY).size
+
+    fun txn(conditions: List<Condition>, changes: List<Change>, lane: Lane, done: (TxnResult) -> Unit) {
+        val body = WireJson.encodeToString(Txn.serializer(), Txn(conditions, changes))
+        enqueue(lane, changes.size, "POST", "/txn", body, Tuning.STATE_MS) { reply ->
+            done(
+                when (reply.status) {
+                    200 -> parse(reply) { WireJson.decodeFromString(TxnReply.serializer(), it) }?.let { TxnResult.Ok(it.edition) } ?: TxnResult.Unknown
+                    409 -> parse(reply) { WireJson.decodeFromString(TxnReply.serializer(), it) }?.let { TxnResult.Conflict(it.failed) } ?: TxnResult.Refused
+                    400 -> if ("no such lease" in reply.body) TxnResult.NoLease else TxnResult.Refused
+                    0 -> TxnResult.Unknown
+                    else -> TxnResult.Refused
+                },
+            )
+        }
+    }
+
+    fun get(key: String, lane: Lane, done: (ReadResult<KeyValue>) -> Unit) =
+        enqueue(lane, 0, "GET", "/keys/$key", null, Tuning.STATE_MS) { read(it, done) { text -> WireJson.decodeFromString(KeyValue.serializer(), text) } }
+
+    fun list(prefix: String, since: String?, lane: Lane, done: (ReadResult<KeyPage>) -> Unit) {
+        val after = if (since == null) "" else "&since=$since"
+        enqueue(lane, 0, "GET", "/keys?under=$prefix$after&limit=${Tuning.PAGE}", null, Tuning.STATE_PAGE_MS) {
+            read(it, done) { text -> WireJson.decodeFromString(KeyPage.serializer(), text) }
+        }
+    }
+
+    fun openLease(done: (Long?) -> Unit) =
+        enqueue(Lane.VITAL, 0, "POST", "/leases", WireJson.encodeToString(LeaseRequest.serializer(), LeaseRequest(Tuning.LEASE_MS)), Tuning.STATE_MS) { reply ->
+            done(if (reply.status == 200) parse(reply) { WireJson.decodeFromString(LeaseReply.serializer(), it).permit } else null)
+        }
+
+    /** [done] gets true when renewed, false when the lease is gone, null when nothing is known. */
+    fun touch(permit: Long, done: (Boolean?) -> Unit) =
+        enqueue(Lane.VITAL, 0, "POST", "/leases/$permit/touch", "{}", Tuning.STATE_MS) { reply ->
+            done(
+                when (reply.status) {
+                    200 -> true
+                    404 -> false
+                    else -> null
+                },
+            )
+        }
+
+    /** [done] gets [ReadResult.Absent] when [since] is too old for the service. */
+    fun watch(prefix: String, since: Long, done: (ReadResult<NewsPage>) -> Unit) =
+        enqueue(Lane.VITAL, 0, "GET", "/changes?under=$prefix&since=$since&blockMs=${Tuning.WATCH_MS}", null, Tuning.WATCH_MS + Tuning.STATE_PAGE_MS) {
+            read(it, done) { text -> WireJson.decodeFromString(NewsPage.serializer(), text) }
+        }
+
+    /** Sends what the budget allows; called after every batch and on every tick. */
+    fun pump() {
+        requests.refill(now.steady)
+        writes.refill(now.steady)
+        for ((lane, queue) in lanes) {
+            while (queue.isNotEmpty()) {
+                val next = queue.first()
+                if (now.steady - next.since > Tuning.STATE_MS) {
+                    queue.removeFirst()
+                    next.done(Reply(429, ""))
+                    continue
+                }
+                if (lane != Lane.VITAL && now.steady < pausedUntil) return
+                if (!requests.has(1) || !writes.has(next.writes)) return
+                queue.removeFirst()
+                requests.take(1)
+                writes.take(next.writes)
+                transport.call(address, next.method, next.target, next.body, next.timeoutMs) { reply ->
+                    when (reply.status) {
+                        200, 400, 404, 409, 410 -> lastAnswer = now.steady
+                        429 -> pausedUntil = now.steady + Tuning.STATE_RETRY_MS
+                    }
+                    next.done(reply)
+                }
+            }
+        }
+    }
+
+    private fun enqueue(lane: Lane, writes: Int, method: String, target: String, body: String?, timeoutMs: Long, done: (Reply) -> Unit) {
+        lanes.getValue(lane).addLast(Waiting(writes, now.steady, method, target, body, timeoutMs, done))
+    }
+
+    private inline fun <T> read(reply: Reply, done: (ReadResult<T>) -> Unit, decode: (String) -> T) = done(
+        when (reply.status) {
+            200 -> parse(reply, decode)?.let { ReadResult.Found(it) } ?: ReadResult.Failed
+            404, 410 -> ReadResult.Absent
+            else -> ReadResult.Failed
+        },
+    )
+
+    private inline fun <T> parse(reply: Reply, decode: (String) -> T): T? = try {
+        decode(reply.body)
+    } catch (_: SerializationException) {
+        null
+    }
+}
