Commands lost at the tick: tick is now a command of its own

Cause: receive() under a time-out drops an element delivered at the moment of the time-out. A lost watch answer left a node's copy blind for good; lost polls timed out. Watches are also shorter now.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -47,14 +47,26 @@
     const val TICK_MS = 50L
 
     // --- State service ----------------------------------------------------------------------------------------
+    /** ms. Longest silence of a connection that is being read. */
+    const val READ_MS = 20_000L
+
     /** ms. A request to the state service; it usually takes under 10 and now and then a few hundred. */
     const val STATE_MS = 1_500L
 
+    /** ms. A transaction that only compares may be sent again at will, and a user waits 2 s for what hangs on it. */
+    const val COMPARE_MS = 600L
+
+    /** ms. A writing transaction is sent again after this; its conditions make the repeat harmless. */
+    const val TXN_MS = 900L
+
     /** ms. A page of keys or an answered watch may be large. */
     const val STATE_PAGE_MS = 6_000L
 
-    /** ms. How long one watch waits for changes. */
-    const val WATCH_MS = 10_000L
+    /** ms. How long one watch waits for changes. Short, since a watch whose answer is lost is blind until it is given up. */
+    const val WATCH_MS = 2_000L
+
+    /** ms. Beyond its time, how long the answer of a watch is waited for. */
+    const val WATCH_GRACE_MS = 1_000L
 
     /** Keys a page. Well under the service's 1,000 so that one answer is parsed in a fraction of a second. */
     const val PAGE = 200
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -8,7 +8,6 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import ledgearch.Tuning
 import ledgearch.config.Settings
 import ledgearch.core.Command
@@ -42,6 +41,12 @@
         val sockets = (settings.deployment.quota.fdLimit * Tuning.INCOMING_SHARE).toInt()
         HttpServer(scope, group, sockets, ::handle).start(settings.listen)
         scope.launch { own() }
+        scope.launch {
+            while (true) {
+                delay(Tuning.TICK_MS)
+                queue.trySend(Command.Tick)
+            }
+        }
         scope.launch {
             while (true) {
                 delay(Tuning.POOLED_IDLE_MS / 2)
@@ -61,7 +66,8 @@
         val batch = ArrayList<Command>(Tuning.BATCH)
         while (true) {
             batch.clear()
-            withTimeoutOrNull(Tuning.TICK_MS) { queue.receive() }?.let(batch::add)
+            // Never with a time-out: a command handed over at the moment of the time-out would be lost.
+            batch.add(queue.receive())
             while (batch.size < Tuning.BATCH) batch.add(queue.tryReceive().getOrNull() ?: break)
             try {
                 controller.run(System.nanoTime() / 1_000_000, System.currentTimeMillis(), batch)
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -23,6 +23,9 @@
 internal sealed interface Command {
     class Serve(val request: Request, val respond: (Response) -> Unit) : Command
 
+    /** Time has passed. */
+    data object Tick : Command
+
     class Answered(val reply: Reply, val done: (Reply) -> Unit) : Command
 }
 
@@ -54,6 +57,7 @@
             when (command) {
                 is Command.Serve -> serve(command.request, command.respond)
                 is Command.Answered -> command.done(command.reply)
+                Command.Tick -> Unit
             }
         }
         book.drive()
--- a/src/main/kotlin/ledgearch/http/HttpClient.kt
+++ b/src/main/kotlin/ledgearch/http/HttpClient.kt
@@ -99,7 +99,7 @@
                 return Reply(status, body) to (!head.close && c.reader.isEmpty)
             }
             buffer.clear()
-            val n = c.channel.readSome(buffer, Tuning.WATCH_MS * 2)
+            val n = c.channel.readSome(buffer, Tuning.READ_MS)
             if (n < 0) throw IOException("closed")
             c.reader.append(buffer.array(), n)
         }
--- a/src/main/kotlin/ledgearch/state/StateClient.kt
+++ b/src/main/kotlin/ledgearch/state/StateClient.kt
@@ -16,6 +16,7 @@
 import ledgearch.wire.Txn
 import ledgearch.wire.TxnReply
 import ledgearch.wire.WireJson
+import org.slf4j.LoggerFactory
 
 internal sealed interface TxnResult {
     data class Ok(val edition: Long) : TxnResult
@@ -54,6 +55,8 @@
     private val transport: Transport,
     private val now: Now,
 ) {
+    private val log = LoggerFactory.getLogger("ledgearch.state")
+
     private class Waiting(
         val writes: Int,
         val since: Long,
@@ -94,7 +97,8 @@
 
     fun txn(conditions: List<Condition>, changes: List<Change>, lane: Lane, done: (TxnResult) -> Unit) {
         val body = WireJson.encodeToString(Txn.serializer(), Txn(conditions, changes))
-        enqueue(lane, changes.size, "POST", "/txn", body, Tuning.STATE_MS) { reply ->
+        enqueue(lane, changes.size, "POST", "/txn", body, if (changes.isEmpty()) Tuning.COMPARE_MS else Tuning.TXN_MS) { reply ->
+            if (reply.status != 200) log.debug("transaction of {} changes got {} {}", changes.size, reply.status, reply.body)
             done(
                 when (reply.status) {
                     200 -> parse(reply) { WireJson.decodeFromString(TxnReply.serializer(), it) }?.let { TxnResult.Ok(it.edition) } ?: TxnResult.Unknown
@@ -136,7 +140,7 @@
 
     /** [done] gets [ReadResult.Absent] when [since] is too old for the service. */
     fun watch(prefix: String, since: Long, done: (ReadResult<NewsPage>) -> Unit) =
-        enqueue(Lane.VITAL, 0, "GET", "/changes?under=$prefix&since=$since&blockMs=${Tuning.WATCH_MS}", null, Tuning.WATCH_MS + Tuning.STATE_PAGE_MS) {
+        enqueue(Lane.VITAL, 0, "GET", "/changes?under=$prefix&since=$since&blockMs=${Tuning.WATCH_MS}", null, Tuning.WATCH_MS + Tuning.WATCH_GRACE_MS) {
             read(it, done) { text -> WireJson.decodeFromString(NewsPage.serializer(), text) }
         }
 
