--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -2,7 +2,10 @@
 
 import ledgearch.Tuning
 import ledgearch.config.Settings
+import ledgearch.core.placement.Estimates
 import ledgearch.core.placement.Placer
+import ledgearch.core.placement.Preemption
+import ledgearch.core.placement.Ranking
 import ledgearch.fleet.Fleet
 import ledgearch.http.Reply
 import ledgearch.leader.Election
@@ -45,7 +48,9 @@
 
     val machines = LinkedHashMap<String, Machine>()
     val teams = Teams(settings.deployment.teams)
-    private val placer = Placer(machines, teams, now, ::start)
+    private val estimates = Estimates()
+    private val ranking = Ranking(settings.deployment.objectives, estimates, now)
+    private val placer = Placer(machines, teams, now, ranking, Preemption(teams, now, ::preempt), ::start)
 
     /** The first token of this tenure: a worker that has seen it no longer follows any earlier holder. */
     private var tenure = 0L
@@ -283,6 +288,7 @@
                 job.errorMachines.clear()
                 job.badTries = 0
                 if (!job.standing) {
+                    if (p.runningSince > 0 && job.spec.stirS == 0.0) estimates.ran(job, (now.steady - p.runningSince) / 1000.0)
                     job.finish(p.index)
                     if (!job.closed) journal.progress(job)
                     if (job.complete) journal.close(job, WorkStates.DONE)
@@ -351,6 +357,12 @@
         log.debug("{} try {} starts on {}", p.task, attempt, m.name)
     }
 
+    private fun preempt(p: Placement) {
+        log.debug("{} on {} makes room", p.task, p.machine.name)
+        p.stop = if ((p.job?.spec?.stirS ?: 0.0) > 0) Stop.SAVE_FIRST else Stop.AT_ONCE
+        p.machine.pushWanted = true
+    }
+
     private fun stopAll(job: Job) {
         for (p in job.placements.values) {
             if (p.stop == Stop.AT_ONCE) continue
--- a/src/main/kotlin/ledgearch/core/Teams.kt
+++ b/src/main/kotlin/ledgearch/core/Teams.kt
@@ -59,6 +59,12 @@
             use.gpus + job.spec.accelerators <= use.team.gpus + Machine.ROUNDING
     }
 
+    /** The team of [job] uses more than its guarantee. */
+    fun beyondGuarantee(job: Job): Boolean {
+        val use = uses[job.spec.crew] ?: return false
+        return use.cpus > use.team.cpus + Machine.ROUNDING || use.gpus > use.team.gpus + Machine.ROUNDING
+    }
+
     /** How many more tasks of [job] its team's limit allows. */
     fun roomFor(job: Job): Int {
         val use = uses[job.spec.crew] ?: return 0
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -1,5 +1,6 @@
 package ledgearch.core.placement
 
+import ledgearch.Tuning
 import ledgearch.core.Job
 import ledgearch.core.Machine
 import ledgearch.core.Now
@@ -14,6 +15,8 @@
     private val machines: Map<String, Machine>,
     private val teams: Teams,
     private val now: Now,
+    private val ranking: Ranking,
+    private val preemption: Preemption,
     private val start: (Job, Int, Machine) -> Unit,
 ) {
     private val bound = HashMap<Job, Int>()
@@ -35,35 +38,32 @@
         if (open.isEmpty()) return
         val usable = machines.values.filter { usable(it) }
         val lists = PreferredLists(usable)
+        val waiting = ArrayList<Job>()
         for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
-            val ordered = sameUrgency.sortedWith(compareBy({ !teams.guaranteed(it) }, { it.record.at }, { it.id }))
-            startHeads(usable, sameUrgency.toHashSet())
-            for (job in ordered) while (startOne(job, usable)) Unit
+            val ordered = ranking.order(sameUrgency, teams)
+            for (job in ordered) {
+                while (startOne(job, usable)) Unit
+                if (job.pendingCount > 0) waiting.add(job)
+            }
         }
-        for (job in open.sortedWith(compareBy({ it.urgency }, { it.record.at }))) bindRest(job, usable, lists)
+        preemption.pass(waiting, usable, ::zoneAllowed)
+        for (job in waiting) bindRest(job, usable, lists)
     }
 
     private fun usable(m: Machine) =
         m.durable && m.confirmed && !m.draining && !m.releasing && !m.failed && !m.pushBroken && m.recallAt == 0L && now.steady >= m.refusedUntil
 
-    private fun startHeads(usable: List<Machine>, among: Set<Job>) {
-        for (m in usable) {
-            for (job in m.queue.snapshot()) {
-                if (job !in among || !eligible(job, m)) continue
-                val index = job.nextPending() ?: continue
-                m.queue.unbind(job)
-                unbound(job)
-                start(job, index, m)
-            }
-        }
-    }
-
     private fun startOne(job: Job, usable: List<Machine>): Boolean {
         val index = job.nextPending() ?: return false
         if (!teams.allows(job)) return false
-        val m = usable.filter { eligible(job, it) }.minWithOrNull(preference(job)) ?: return false
-        // A bound task that finds room elsewhere leaves the queue that it waited in.
-        if ((bound[job] ?: 0) >= job.pendingCount) machines.values.firstOrNull { it.queue.unbind(job) }?.let { unbound(job) }
+        // The machine whose queue the task waits in goes first; a buddy with room takes it over otherwise.
+        val fitting = usable.filter { eligible(job, it) }
+        if (fitting.isEmpty()) return false
+        val m = fitting.minWith(preference(job))
+        if ((bound[job] ?: 0) >= job.pendingCount) {
+            val queue = if (m.queue.unbind(job)) m.queue else machines.values.firstOrNull { it.queue.unbind(job) }?.queue
+            if (queue != null) unbound(job)
+        }
         start(job, index, m)
         return true
     }
@@ -105,7 +105,7 @@
         var rest = job.pendingCount - (bound[job] ?: 0)
         while (rest > 0) {
             val home = fitting[homeTurn++ % fitting.size]
-            val target = if (home.queue.band != Band.OVERLOADED && home.queue.length <= ledgearch.Tuning.TH_V) {
+            val target = if (home.queue.band != Band.OVERLOADED && home.queue.length <= Tuning.TH_V) {
                 home
             } else {
                 lists.of(home).firstOrNull { it.queue.band == Band.UNDERLOADED && it.allows(job) && zoneAllowed(job, it.hall) } ?: return
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -0,0 +1,100 @@
+package ledgearch.core.placement
+
+import ledgearch.core.Job
+import ledgearch.core.Machine
+import ledgearch.core.Now
+import ledgearch.core.Placement
+import ledgearch.core.Stop
+import ledgearch.core.TaskStatus
+import ledgearch.core.Teams
+
+/**
+ * Makes room for work that may not wait: for a more urgent job, or for one within its team's guarantee at the
+ * cost of work that another team runs beyond its own. What has run least is stopped first.
+ */
+internal class Preemption(private val teams: Teams, private val now: Now, private val stop: (Placement) -> Unit) {
+    /** Room on a machine once what is being stopped there is gone, less what this pass has promised of it. */
+    private class Room(val machine: Machine) {
+        var cpus = machine.rack.vcpus
+        var gpus = machine.rack.accelerators
+        var memory = machine.rack.memoryGb
+
+        init {
+            for (p in machine.placements.values) if (!p.exited && p.stop == Stop.NONE) take(p.job, -1.0)
+        }
+
+        fun take(job: Job?, sign: Double) {
+            cpus += sign * (job?.spec?.vcpus ?: machine.rack.vcpus)
+            gpus += sign * (job?.spec?.accelerators ?: machine.rack.accelerators)
+            memory += sign * (job?.spec?.memoryGb ?: machine.rack.memoryGb)
+        }
+
+        fun fits(job: Job) = job.spec.vcpus <= cpus + Machine.ROUNDING &&
+            job.spec.accelerators <= gpus + Machine.ROUNDING && job.spec.memoryGb <= memory + Machine.ROUNDING
+    }
+
+    /** [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them. */
+    fun pass(waiting: List<Job>, usable: List<Machine>, zoneAllowed: (Job, String) -> Boolean) {
+        if (waiting.isEmpty()) return
+        val rooms = usable.map { Room(it) }
+        for (job in waiting) {
+            val guaranteed = teams.guaranteed(job)
+            var left = minOf(job.pendingCount, teams.roomFor(job))
+            while (left > 0) {
+                val fitting = rooms.filter { it.machine.allows(job) && zoneAllowed(job, it.machine.hall) }
+                val room = fitting.firstOrNull { it.fits(job) } ?: makeRoom(job, guaranteed, fitting) ?: break
+                room.take(job, -1.0)
+                left--
+            }
+        }
+    }
+
+    private fun makeRoom(job: Job, guaranteed: Boolean, rooms: List<Room>): Room? {
+        var best: Pair<Room, List<Placement>>? = null
+        var bestCost = Double.MAX_VALUE
+        for (room in rooms) {
+            val victims = victims(job, guaranteed, room) ?: continue
+            val cost = victims.sumOf { lost(it) }
+            if (cost < bestCost) {
+                bestCost = cost
+                best = room to victims
+            }
+        }
+        val (room, victims) = best ?: return null
+        for (v in victims) {
+            room.take(v.job, 1.0)
+            stop(v)
+        }
+        return room
+    }
+
+    private fun victims(job: Job, guaranteed: Boolean, room: Room): List<Placement>? {
+        val candidates = room.machine.placements.values
+            .filter { !it.exited && it.stop == Stop.NONE && it.job != null && mayStop(job, guaranteed, it.job) }
+            .sortedBy { lost(it) }
+        val chosen = ArrayList<Placement>()
+        for (c in candidates) {
+            chosen.add(c)
+            room.take(c.job, 1.0)
+            if (room.fits(job)) break
+        }
+        val enough = room.fits(job)
+        chosen.forEach { room.take(it.job, -1.0) }
+        return if (enough) chosen else null
+    }
+
+    private fun mayStop(job: Job, guaranteed: Boolean, victim: Job): Boolean =
+        victim.urgency > job.urgency ||
+            (guaranteed && victim.urgency == job.urgency && victim.spec.crew != job.spec.crew && !victim.standing && teams.beyondGuarantee(victim))
+
+    /** Processor seconds thrown away. */
+    private fun lost(p: Placement): Double {
+        val since = if (p.status == TaskStatus.RUNNING) p.runningSince else p.decidedAt
+        return (now.steady - since) / 1000.0 * (p.job?.spec?.vcpus ?: 0.0) + (if (p.status == TaskStatus.RUNNING) STARTED else 0.0)
+    }
+
+    private companion object {
+        /** Processor seconds. What a start is worth by itself: its image is there, its users see it run. */
+        const val STARTED = 5.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -0,0 +1,54 @@
+package ledgearch.core.placement
+
+import ledgearch.config.Objective
+import ledgearch.core.Job
+import ledgearch.core.Now
+import ledgearch.core.Teams
+
+/**
+ * The order in which jobs are served. The paper's queues are first-come with equal tasks; here tasks differ, so
+ * within an urgency a job that can still meet its aim goes before one that can't, and less expected work before
+ * more, with waiting counted in a job's favour.
+ */
+internal class Ranking(objectives: List<Objective>, private val estimates: Estimates, private val now: Now) {
+    private val finishWithin: Map<String, List<Double>> = objectives
+        .filter { it.kind == "finished" && it.jobClass != null && it.withinS != null }
+        .groupBy({ it.jobClass.orEmpty() }, { it.withinS ?: 0.0 })
+        .mapValues { it.value.sorted() }
+    private val deadlineTimes: Map<String, List<Double>> = objectives
+        .filter { it.kind == "deadline" && it.jobClass != null }
+        .groupBy({ it.jobClass.orEmpty() }, { it.times })
+        .mapValues { it.value.sorted() }
+
+    private class Rank(val job: Job, val guaranteed: Boolean, val lateness: Int, val cost: Double)
+
+    /** Jobs of one urgency, first to be served first. */
+    fun order(jobs: List<Job>, teams: Teams): List<Job> = jobs
+        .map { Rank(it, teams.guaranteed(it), lateness(it), cost(it)) }
+        .sortedWith(compareBy({ !it.guaranteed }, { it.lateness }, { it.cost }, { it.job.id }))
+        .map { it.job }
+
+    /** How many of its aims the job can't meet any more even if it started now. */
+    private fun lateness(job: Job): Int {
+        if (job.standing) return 0
+        val age = (now.wall - job.record.at) / 1000.0
+        val end = age + estimates.seconds(job)
+        var missed = 0
+        finishWithin[job.spec.menu]?.forEach { if (end > it) missed++ }
+        job.spec.serveS?.let { due -> (deadlineTimes[job.spec.menu] ?: listOf(1.0)).forEach { if (end > due * it) missed++ } }
+        return missed
+    }
+
+    /** Processor seconds still to be done, less a credit for each second waited. */
+    private fun cost(job: Job): Double {
+        val age = (now.wall - job.record.at) / 1000.0
+        if (job.standing) return -age
+        val work = job.pendingCount * job.spec.vcpus * estimates.seconds(job)
+        return work - age * job.spec.vcpus * job.spec.portions * AGE_CREDIT
+    }
+
+    private companion object {
+        /** Share of a job's tasks' worth of work that a second of waiting makes up for. */
+        const val AGE_CREDIT = 0.25
+    }
+}
