--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -203,14 +203,23 @@
     /** Factor on the catalog's start-up time after which a booting machine is taken for dead. */
     const val BOOT_PATIENCE = 3.0
 
-    /** ms. An empty machine is kept this long: a machine costs at least a minute anyway. */
-    const val IDLE_KEEP_MS = 45_000L
+    /** ms. A machine costs at least a minute, so it is not retired sooner after it came up. */
+    const val KEEP_MS = 45_000L
 
-    /** Machines. Rented by one request: the need is looked at again before more. */
-    const val RENT_AT_ONCE = 6
+    /** ms. Nothing has waited for this long before machines are retired. */
+    const val CALM_MS = 6_000L
 
-    /** Share of the used processors that is kept free before an idle machine is returned. */
-    const val SPARE_SHARE = 0.25
+    /** ms. Between two retirements: each shows in the load before the next. */
+    const val RETIRE_MS = 3_000L
+
+    /** Machines. Planned at one time; the need is looked at again before more. */
+    const val RENT_AT_ONCE = 40
+
+    /** Share of the used processors that is kept free beside the reserve. */
+    const val SPARE_SHARE = 0.05
+
+    /** Share counted on of what running tasks should free: their ends are uncertain. */
+    const val CHURN_COUNTED = 0.5
 
     /** ms. Between two plannings of the fleet. */
     const val PLAN_MS = 500L
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -7,6 +7,7 @@
 import ledgearch.core.placement.Preemption
 import ledgearch.core.placement.Ranking
 import ledgearch.fleet.Fleet
+import ledgearch.fleet.Reserve
 import ledgearch.http.Reply
 import ledgearch.leader.Election
 import ledgearch.state.Lane
@@ -49,6 +50,7 @@
     val machines = LinkedHashMap<String, Machine>()
     val teams = Teams(settings.deployment.teams)
     private val estimates = Estimates()
+    val reserve = Reserve(settings.deployment.objectives, estimates)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
     private val placer = Placer(machines, teams, now, ranking, Preemption(teams, now, ::preempt), ::start)
 
@@ -70,7 +72,7 @@
     fun begin(token: Long) {
         end()
         tenure = token
-        for (job in book.jobs.values) jobOpened(job)
+        for (job in book.jobs.values) job.trusted = job.stamp > tenure && !job.record.cancel
         toRead.addLast(Keys.MACHINES to null)
         toRead.addLast(Keys.FINISHED to null)
         state.share(holder = true)
@@ -91,6 +93,7 @@
     }
 
     fun jobOpened(job: Job) {
+        reserve.opened(job)
         if (tenure == 0L) return
         // Accepted after the grant: no earlier holder can have learnt of it while it still held the block.
         job.trusted = job.stamp > tenure && !job.record.cancel
@@ -109,6 +112,8 @@
         dirty = true
     }
 
+    fun zoneAllowed(job: Job, hall: String) = placer.zoneAllowed(job, hall)
+
     fun changed() {
         dirty = true
     }
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -40,6 +40,9 @@
 
     /** Nothing new is started: to be emptied and returned. */
     var draining = false
+
+    /** Not needed at present: emptied and returned unless work comes first. */
+    var retiring = false
     var releasing = false
     var releaseSent = false
     var failed = false
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -51,7 +51,7 @@
     }
 
     private fun usable(m: Machine) =
-        m.durable && m.confirmed && !m.draining && !m.releasing && !m.failed && !m.pushBroken && m.recallAt == 0L && now.steady >= m.refusedUntil
+        m.durable && m.confirmed && !m.draining && !m.retiring && !m.releasing && !m.failed && !m.pushBroken && m.recallAt == 0L && now.steady >= m.refusedUntil
 
     private fun startOne(job: Job, usable: List<Machine>): Boolean {
         val index = job.nextPending() ?: return false
@@ -71,7 +71,7 @@
     private fun eligible(job: Job, m: Machine): Boolean = m.allows(job) && m.hasRoom(job) && zoneAllowed(job, m.hall) && teams.allows(job)
 
     /** `samePlace` and `apart`, counting every task that may still be on a machine. */
-    private fun zoneAllowed(job: Job, hall: String): Boolean {
+    fun zoneAllowed(job: Job, hall: String): Boolean {
         if (!job.spec.samePlace && !job.spec.apart) return true
         var here = 0
         for (p in job.placements.values) {
@@ -92,9 +92,9 @@
         return compareBy(
             { inHall[it.hall] ?: 0 },
             { onMachine[it] ?: 0 },
-            { if (job.spec.recipe in it.images) 0 else 1 },
             { if (it.borrowed) 0 else 1 },
-            { it.fetching },
+            { if (job.spec.recipe in it.images) 0 else 1 },
+            { if (job.spec.recipe in it.images) 0 else it.fetching },
             { it.rack.vcpus - it.usedCpus },
         )
     }
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -32,7 +32,7 @@
     private val now: Now,
     private val journal: () -> Journal,
 ) {
-    private class Pool(val rack: Rack, val hall: String, val borrowed: Boolean) {
+    private data class Pool(val rack: Rack, val hall: String, val borrowed: Boolean) {
         val price: Double get() = (if (borrowed) rack.lowPrice else rack.hourly) / rack.vcpus
     }
 
@@ -47,7 +47,9 @@
     private var listAt = 0L
     private var listBusy = false
     private var planAt = 0L
-    private var renting = false
+    private val renting = HashSet<String>()
+    private var calmSince = 0L
+    private var retiredAt = 0L
     private var rentRetryAt = 0L
     private var bookingSeq = 0L
     private val booting = LinkedHashMap<String, Booting>()
@@ -62,7 +64,7 @@
         toRelease.clear()
         returned.clear()
         exhausted.clear()
-        renting = false
+        renting.clear()
         releasing = false
         listBusy = false
     }
@@ -184,22 +186,46 @@
                 toRelease.add(name)
             }
         }
+        val churn = holder.reserve.churn(holder.machines.values)
         val needs = Demand.of(book().jobs.values, holder, now)
-        rentFor(needs)
-        returnIdle(holder, needs)
+        if (needs.isEmpty()) {
+            if (calmSince == 0L) calmSince = now.steady
+        } else {
+            calmSince = 0L
+            recallRetiring(holder)
+        }
+        rentFor(holder, needs, churn)
+        returnEmpty(holder)
+        if (calmSince != 0L && now.steady - calmSince > Tuning.CALM_MS) retire(holder, churn)
     }
 
-    private fun rentFor(needs: List<Demand>) {
-        if (renting || now.steady < rentRetryAt || !bucket.has(1)) return
+    /** Rents for what waits, less what running tasks will free before it is late or a machine could be up. */
+    private fun rentFor(holder: Holder, needs: List<Demand>, churn: Double) {
+        if (now.steady < rentRetryAt) return
         val coming = booting.values.map { Supply(it.pool.rack, it.pool.hall, it.pool.borrowed) }.toMutableList()
+        val planned = LinkedHashMap<Pool, Int>()
+        var freed = 0.0
         for (need in needs) {
-            val left = need.unmetBy(coming)
-            if (left <= 0) continue
-            val pool = cheapest(need.job) ?: continue
-            val perMachine = maxOf(1, tasksPerMachine(need.job, pool.rack))
-            rent(pool, ((left + perMachine - 1) / perMachine).coerceIn(1, Tuning.RENT_AT_ONCE))
-            return
+            var left = need.unmetBy(coming)
+            val spec = need.job.spec
+            if (!need.job.standing && spec.vcpus > 0) {
+                val startup = book().racks.values.minOfOrNull { it.startupS } ?: 0.0
+                val soon = churn * holder.reserve.startWithinS(need.job, startup) * Tuning.CHURN_COUNTED - freed
+                val served = minOf(left, (soon / spec.vcpus).toInt().coerceAtLeast(0))
+                left -= served
+                freed += served * spec.vcpus
+            }
+            while (left > 0 && planned.values.sum() < Tuning.RENT_AT_ONCE) {
+                val pool = cheapest(need.job, holder, planned) ?: break
+                val supply = Supply(pool.rack, pool.hall, pool.borrowed)
+                val taken = supply.take(need.job, left)
+                if (taken == 0) break
+                left -= taken
+                coming.add(supply)
+                planned.merge(pool, 1, Int::plus)
+            }
         }
+        for ((pool, count) in planned) if (key(pool) !in renting && bucket.has(1)) rent(pool, count)
     }
 
     private fun tasksPerMachine(job: Job, rack: Rack): Int {
@@ -209,28 +235,28 @@
         return minOf(byCpu, byMemory, 1e6).toInt()
     }
 
-    private fun cheapest(job: Job): Pool? {
+    private fun cheapest(job: Job, holder: Holder, planned: Map<Pool, Int>): Pool? {
         val spec = job.spec
         val pools = book().racks.values
             .filter { (spec.racks == null || it.label in spec.racks) && tasksPerMachine(job, it) > 0 }
             .flatMap { rack ->
-                rack.halls.filter { spec.hall == null || spec.hall == it }.flatMap { hall ->
+                rack.halls.filter { (spec.hall == null || spec.hall == it) && holder.zoneAllowed(job, it) }.flatMap { hall ->
                     if (spec.borrowed) listOf(Pool(rack, hall, true), Pool(rack, hall, false)) else listOf(Pool(rack, hall, false))
                 }
             }
             .filter { now.steady >= (exhausted[key(it)] ?: Long.MIN_VALUE) }
-        return pools.minWithOrNull(compareBy({ it.price }, { p -> booting.values.count { it.pool.hall == p.hall } }))
+        return pools.minWithOrNull(compareBy({ it.price }, { p -> booting.values.count { it.pool.hall == p.hall } + (planned[p] ?: 0) }))
     }
 
     private fun key(p: Pool) = "${p.rack.label}/${p.hall}/${p.borrowed}"
 
     private fun rent(pool: Pool, count: Int) {
-        renting = true
+        renting.add(key(pool))
         // The token is this grant's alone, so no other node and no later life of this one ever uses the name again.
         val booking = "b-${election().token}-${++bookingSeq}"
         val body = WireJson.encodeToString(RentRequest.serializer(), RentRequest(booking, pool.rack.label, pool.hall, pool.borrowed, count))
         call("POST", "/hosts", body) { reply ->
-            renting = false
+            renting.remove(key(pool))
             when (reply.status) {
                 200 -> {
                     val names = parse(reply) { WireJson.decodeFromString(StoveNames.serializer(), it) }?.stoves.orEmpty()
@@ -245,21 +271,43 @@
         }
     }
 
-    private fun returnIdle(holder: Holder, needs: List<Demand>) {
-        for (m in holder.machines.values) if (m.placements.isNotEmpty()) m.emptySince = now.steady
-        val empty = holder.machines.values.filter { it.placements.isEmpty() && it.confirmed && !it.releasing }
-        for (m in empty.filter { it.draining }) release(m)
-        if (needs.isNotEmpty()) return
-        val idle = empty.filter { !it.draining && now.steady - it.emptySince > Tuning.IDLE_KEEP_MS }
-        val spare = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining }.sumOf { it.rack.vcpus - it.usedCpus }
-        val dearest = idle.maxByOrNull { (if (it.borrowed) it.rack.lowPrice else it.rack.hourly) / it.rack.vcpus } ?: return
-        val used = holder.machines.values.sumOf { it.usedCpus }
-        if (spare - dearest.rack.vcpus >= maxOf(used * Tuning.SPARE_SHARE, dearest.rack.vcpus)) {
-            log.info("machine {} has been idle; it is returned", dearest.name)
-            release(dearest)
+    private fun returnEmpty(holder: Holder) {
+        for (m in holder.machines.values.toList()) {
+            if (m.placements.isNotEmpty()) m.emptySince = now.steady
+            if ((m.draining || m.retiring) && m.placements.isEmpty() && m.confirmed && !m.releasing) {
+                log.info("machine {} is empty and not needed; it is returned", m.name)
+                release(m)
+            }
+        }
+    }
+
+    /** Work waits: machines on their way out serve again, the cheapest first, before any is rented. */
+    private fun recallRetiring(holder: Holder) {
+        for (m in holder.machines.values) {
+            if (m.retiring && !m.releasing) {
+                m.retiring = false
+                holder.changed()
+            }
         }
     }
 
+    /** One machine at a time is emptied for good, the dearest first, while what is left holds the load and the reserve. */
+    private fun retire(holder: Holder, churn: Double) {
+        if (now.steady - retiredAt < Tuning.RETIRE_MS) return
+        val active = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining && !it.retiring && !it.failed }
+        val capacity = active.sumOf { it.rack.vcpus }
+        val used = active.sumOf { it.usedCpus }
+        val reserve = holder.reserve.cpus(churn) + used * Tuning.SPARE_SHARE
+        val m = active
+            .filter { c -> c.placements.values.none { it.job?.standing == true } && now.steady - c.firstHeardAt > Tuning.KEEP_MS }
+            .filter { capacity - it.rack.vcpus >= used + reserve }
+            .filter { c -> c.borrowed || active.any { it !== c && !it.borrowed && it.hall == c.hall } }
+            .maxWithOrNull(compareBy({ (if (it.borrowed) it.rack.lowPrice else it.rack.hourly) / it.rack.vcpus }, { -it.usedCpus })) ?: return
+        retiredAt = now.steady
+        m.retiring = true
+        log.info("machine {} is not needed: {} of {} processors used, {} to spare", m.name, used, capacity, reserve)
+    }
+
     private fun call(method: String, target: String, body: String?, done: (Reply) -> Unit) {
         bucket.take(1)
         transport.call(address, method, target, body, Tuning.CLOUD_MS, done)
