--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -52,7 +52,7 @@
     private val estimates = Estimates()
     val reserve = Reserve(settings.deployment.objectives, estimates)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
-    private val placer = Placer(machines, teams, now, ranking, Preemption(teams, now, ::preempt), ::start)
+    private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), ::start)
 
     /** The first token of this tenure: a worker that has seen it no longer follows any earlier holder. */
     private var tenure = 0L
--- a/src/main/kotlin/ledgearch/core/Teams.kt
+++ b/src/main/kotlin/ledgearch/core/Teams.kt
@@ -7,6 +7,10 @@
     private class Use(val team: Team) {
         var cpus = 0.0
         var gpus = 0.0
+
+        /** As above, less what is being stopped: what the team will be left with. */
+        var keptCpus = 0.0
+        var keptGpus = 0.0
     }
 
     private val uses = teams.associate { it.name to Use(it) }
@@ -19,6 +23,8 @@
         for (use in uses.values) {
             use.cpus = 0.0
             use.gpus = 0.0
+            use.keptCpus = 0.0
+            use.keptGpus = 0.0
         }
         unknownCpus = 0.0
         unknownGpus = 0.0
@@ -34,6 +40,7 @@
                     unknownGpus += m.rack.accelerators
                 } else {
                     add(p.job)
+                    if (p.stop != Stop.NONE) giveUp(p.job)
                 }
             }
         }
@@ -43,6 +50,15 @@
         val use = uses[job.spec.crew] ?: return
         use.cpus += job.spec.vcpus
         use.gpus += job.spec.accelerators
+        use.keptCpus += job.spec.vcpus
+        use.keptGpus += job.spec.accelerators
+    }
+
+    /** A task of [job] is being stopped; it still counts for the limit. */
+    fun giveUp(job: Job) {
+        val use = uses[job.spec.crew] ?: return
+        use.keptCpus -= job.spec.vcpus
+        use.keptGpus -= job.spec.accelerators
     }
 
     /** One more task of [job] keeps its team within its limit, whatever runs where nothing is known. */
@@ -52,17 +68,21 @@
             use.gpus + unknownGpus + job.spec.accelerators <= use.team.gpusMax + Machine.ROUNDING
     }
 
-    /** One more task of [job] stays within its team's guarantee. */
-    fun guaranteed(job: Job): Boolean {
+    /** [more] more tasks of [job] stay within its team's guarantee. */
+    fun guaranteed(job: Job, more: Int = 1): Boolean {
         val use = uses[job.spec.crew] ?: return false
-        return use.cpus + job.spec.vcpus <= use.team.cpus + Machine.ROUNDING &&
-            use.gpus + job.spec.accelerators <= use.team.gpus + Machine.ROUNDING
+        return use.keptCpus + more * job.spec.vcpus <= use.team.cpus + Machine.ROUNDING &&
+            use.keptGpus + more * job.spec.accelerators <= use.team.gpus + Machine.ROUNDING
     }
 
-    /** The team of [job] uses more than its guarantee. */
-    fun beyondGuarantee(job: Job): Boolean {
+    /**
+     * Without a task of [job] its team would still have its whole guarantee. Counted without what is already being
+     * stopped: two teams near their guarantees would otherwise stop each other's tasks in turn for ever.
+     */
+    fun canSpare(job: Job): Boolean {
         val use = uses[job.spec.crew] ?: return false
-        return use.cpus > use.team.cpus + Machine.ROUNDING || use.gpus > use.team.gpus + Machine.ROUNDING
+        return use.keptCpus - job.spec.vcpus >= use.team.cpus - Machine.ROUNDING &&
+            use.keptGpus - job.spec.accelerators >= use.team.gpus - Machine.ROUNDING
     }
 
     /** How many more tasks of [job] its team's limit allows. */
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -12,7 +12,12 @@
  * Makes room for work that may not wait: for a more urgent job, or for one within its team's guarantee at the
  * cost of work that another team runs beyond its own. What has run least is stopped first.
  */
-internal class Preemption(private val teams: Teams, private val now: Now, private val stop: (Placement) -> Unit) {
+internal class Preemption(
+    private val teams: Teams,
+    private val ranking: Ranking,
+    private val now: Now,
+    private val stop: (Placement) -> Unit,
+) {
     /** Room on a machine once what is being stopped there is gone, less what this pass has promised of it. */
     private class Room(val machine: Machine) {
         var cpus = machine.rack.vcpus
@@ -37,13 +42,17 @@
     fun pass(waiting: List<Job>, usable: List<Machine>, zoneAllowed: (Job, String) -> Boolean) {
         if (waiting.isEmpty()) return
         val rooms = usable.map { Room(it) }
+        // Tasks of each team that this pass has found or made room for, in processors.
+        val promised = HashMap<String, Double>()
         for (job in waiting) {
-            val guaranteed = teams.guaranteed(job)
             var left = minOf(job.pendingCount, teams.roomFor(job))
             while (left > 0) {
                 val fitting = rooms.filter { it.machine.allows(job) && zoneAllowed(job, it.machine.hall) }
+                val cpus = promised[job.spec.crew] ?: 0.0
+                val guaranteed = teams.guaranteed(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
                 val room = fitting.firstOrNull { it.fits(job) } ?: makeRoom(job, guaranteed, fitting) ?: break
                 room.take(job, -1.0)
+                promised[job.spec.crew] = cpus + job.spec.vcpus
                 left--
             }
         }
@@ -63,6 +72,7 @@
         val (room, victims) = best ?: return null
         for (v in victims) {
             room.take(v.job, 1.0)
+            v.job?.let(teams::giveUp)
             stop(v)
         }
         return room
@@ -74,6 +84,8 @@
             .sortedBy { lost(it) }
         val chosen = ArrayList<Placement>()
         for (c in candidates) {
+            // The team of an earlier choice may have nothing more to spare.
+            if (c.job != null && c.job.urgency == job.urgency && chosen.any { it.job?.spec?.crew == c.job.spec.crew }) continue
             chosen.add(c)
             room.take(c.job, 1.0)
             if (room.fits(job)) break
@@ -85,10 +97,15 @@
 
     private fun mayStop(job: Job, guaranteed: Boolean, victim: Job): Boolean =
         victim.urgency > job.urgency ||
-            (guaranteed && victim.urgency == job.urgency && victim.spec.crew != job.spec.crew && !victim.standing && teams.beyondGuarantee(victim))
+            (guaranteed && victim.urgency == job.urgency && victim.spec.crew != job.spec.crew && !victim.standing && teams.canSpare(victim))
 
-    /** Processor seconds thrown away. */
+    /** Processor seconds thrown away; least for a job that is too late for its aims anyway. */
     private fun lost(p: Placement): Double {
+        val late = p.job?.let { ranking.lateness(it) > 0 } ?: true
+        return spent(p) * if (late) LATE_WORTH else 1.0
+    }
+
+    private fun spent(p: Placement): Double {
         val since = if (p.status == TaskStatus.RUNNING) p.runningSince else p.decidedAt
         return (now.steady - since) / 1000.0 * (p.job?.spec?.vcpus ?: 0.0) + (if (p.status == TaskStatus.RUNNING) STARTED else 0.0)
     }
@@ -96,5 +113,8 @@
     private companion object {
         /** Processor seconds. What a start is worth by itself: its image is there, its users see it run. */
         const val STARTED = 5.0
+
+        /** Share of its worth that work of a job keeps when the job is late. */
+        const val LATE_WORTH = 0.5
     }
 }
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -29,7 +29,7 @@
         .map { it.job }
 
     /** How many of its aims the job can't meet any more even if it started now. */
-    private fun lateness(job: Job): Int {
+    fun lateness(job: Job): Int {
         if (job.standing) return 0
         val age = (now.wall - job.record.at) / 1000.0
         val end = age + estimates.seconds(job)
