--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -292,8 +292,11 @@
         when (cause) {
             Causes.DONE -> {
                 m.errorJobs.clear()
-                job.errorMachines.clear()
+                m.errorsInRow = 0
                 job.badTries = 0
+                // The job can be done, so where it failed the machine is at fault.
+                job.errorMachines.forEach { name -> machines[name]?.let { blame(it, job) } }
+                job.errorMachines.clear()
                 if (!job.standing) {
                     if (p.runningSince > 0 && job.spec.stirS == 0.0) estimates.ran(job, (now.steady - p.runningSince) / 1000.0)
                     job.finish(p.index)
@@ -310,21 +313,35 @@
 
     private fun failedTask(m: Machine, job: Job) {
         m.errorJobs.add(job.id)
+        m.errorsInRow++
         job.errorMachines.add(m.name)
         if (job.errorMachines.size >= Tuning.BAD_JOB_MACHINES) {
             // Fails wherever it goes: the job is at fault, and no machine is blamed for it.
             val pause = minOf(Tuning.BAD_JOB_MS shl minOf(job.badTries, 6), Tuning.BAD_JOB_MAX_MS)
             job.badTries++
             job.notBefore = now.steady + pause
-            machines.values.forEach { it.errorJobs.remove(job.id) }
-        } else if (m.errorJobs.size >= Tuning.SICK_ERRORS && !m.draining) {
-            log.warn("machine {} fails everything ({} jobs in a row); it is put aside", m.name, m.errorJobs.size)
-            m.draining = true
+            job.errorMachines.forEach { name ->
+                machines[name]?.let {
+                    it.errorJobs.remove(job.id)
+                    it.errorsInRow = 0
+                }
+            }
+            job.errorMachines.clear()
         } else {
             m.refusedUntil = now.steady + Tuning.ERROR_PAUSE_MS
+            blame(m, job)
         }
     }
 
+    /** Puts [m] aside when several jobs failed on it in a row, or several tasks of one that is done elsewhere. */
+    private fun blame(m: Machine, job: Job) {
+        val several = m.errorJobs.size >= Tuning.SICK_ERRORS
+        val provenElsewhere = m.errorsInRow >= Tuning.SICK_ERRORS && job.id in m.errorJobs && !job.finished.isEmpty
+        if (m.draining || !(several || provenElsewhere)) return
+        log.warn("machine {} fails everything ({} tasks in a row); it is put aside", m.name, m.errorsInRow)
+        m.draining = true
+    }
+
     /** [p] is provably on its machine no more, and no start of it can arrive. */
     private fun gone(p: Placement) {
         p.machine.placements.remove(p.attempt)
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -49,6 +49,7 @@
 
     /** Failures in a row by tasks of different jobs. */
     val errorJobs = LinkedHashSet<String>()
+    var errorsInRow = 0
     var refusedUntil = Long.MIN_VALUE
 
     /** Images seen here, the last used at the end. */
