--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -105,6 +105,28 @@
     /** ms. A node that has not heard from the state service for this long is not healthy while others may be. */
     const val STATE_SILENT_MS = 4_000L
 
+    // --- Mesh -------------------------------------------------------------------------------------------------
+    /** Connections. Other controllers that may follow this one; a deployment has a handful. */
+    const val MAX_FOLLOWERS = 16
+
+    /** Frames. Waiting for one follower. */
+    const val MESH_QUEUE = 8
+
+    /** ms. A holder silent for this long is connected to anew. */
+    const val MESH_SILENT_MS = 4_000L
+
+    /** ms. Between two tries to connect. */
+    const val MESH_RETRY_MS = 150L
+
+    /** Refused connections in a row after which the holder's process is taken for ended. */
+    const val REFUSALS = 2
+
+    /** ms. After a challenge, the next one waits this long: a wrong one costs a change of holder. */
+    const val CHALLENGE_MS = 10_000L
+
+    /** ms. Between two tellings of progress. */
+    const val PUBLISH_MS = 1_000L
+
     // --- Users ------------------------------------------------------------------------------------------------
     /** Jobs. Finished jobs whose answer is kept in memory (a name and one word each); the rest are read when asked. */
     const val FINAL_CACHE = 20_000L
@@ -215,11 +237,11 @@
     /** Machines. Planned at one time; the need is looked at again before more. */
     const val RENT_AT_ONCE = 40
 
-    /** Share of the used processors that is kept free beside the reserve. */
-    const val SPARE_SHARE = 0.05
+    /** ms. How slowly a peak of load is forgotten: about two boot times. */
+    const val PEAK_MEMORY_MS = 60_000L
 
     /** Share counted on of what running tasks should free: their ends are uncertain. */
-    const val CHURN_COUNTED = 0.5
+    const val CHURN_COUNTED = 0.3
 
     /** ms. Between two plannings of the fleet. */
     const val PLAN_MS = 500L
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -18,6 +18,9 @@
 import ledgearch.http.Reply
 import ledgearch.http.Request
 import ledgearch.http.Response
+import ledgearch.mesh.MeshEvents
+import ledgearch.mesh.MeshLinks
+import ledgearch.mesh.Progress
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.nio.channels.AsynchronousChannelGroup
@@ -34,12 +37,14 @@
     private val client = HttpClient(group)
     private val queue = Channel<Command>(Tuning.QUEUE)
     private val random = Random(System.nanoTime() xor settings.node.hashCode().toLong())
-    private val controller = Controller(settings, SocketTransport(), random, random.nextLong(Long.MAX_VALUE))
+    private val mesh = MeshLinks(scope, group, OwnerEvents())
+    private val controller = Controller(settings, SocketTransport(), mesh, random, random.nextLong(Long.MAX_VALUE))
 
     /** Binds the address (throws [IOException] when it is taken) and starts; the process then runs until killed. */
     fun start() {
         val sockets = (settings.deployment.quota.fdLimit * Tuning.INCOMING_SHARE).toInt()
         HttpServer(scope, group, sockets, ::handle).start(settings.listen)
+        mesh.listen(settings.meshAddress)
         scope.launch { own() }
         scope.launch {
             while (true) {
@@ -78,6 +83,12 @@
         }
     }
 
+    private inner class OwnerEvents : MeshEvents {
+        override suspend fun news(progress: List<Progress>) = queue.send(Command.News(progress))
+
+        override suspend fun refused(address: String) = queue.send(Command.PeerRefused(address))
+    }
+
     private inner class SocketTransport : Transport {
         override fun call(address: String, method: String, target: String, body: String?, timeoutMs: Long, done: (Reply) -> Unit) {
             scope.launch {
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -10,6 +10,8 @@
 import ledgearch.intake.Intake
 import ledgearch.leader.Election
 import ledgearch.leader.ElectionListener
+import ledgearch.mesh.Mesh
+import ledgearch.mesh.Progress
 import ledgearch.state.StateClient
 import ledgearch.wire.CheckIn
 import ledgearch.wire.CheckInReply
@@ -23,6 +25,12 @@
 internal sealed interface Command {
     class Serve(val request: Request, val respond: (Response) -> Unit) : Command
 
+    /** The holder tells how its jobs go. */
+    class News(val progress: List<Progress>) : Command
+
+    /** The controller at this mesh address refuses connections after one of its own ended. */
+    class PeerRefused(val address: String) : Command
+
     /** Time has passed. */
     data object Tick : Command
 
@@ -33,9 +41,10 @@
  * The one owner of all state of the process. It is given commands in batches with the time, and acts on the
  * world only through its transport; it knows no sockets, threads or clocks.
  */
-internal class Controller(settings: Settings, transport: Transport, random: Random, life: Long) {
+internal class Controller(settings: Settings, transport: Transport, private val mesh: Mesh, random: Random, life: Long) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
     private val node = settings.node
+    private val members = settings.members.associate { it.node to it.addr }
     private val now = Now()
     private val state = StateClient(settings.outside.state, settings.deployment.state, settings.members.size + 1, transport, now)
     private val book = Book(state, now, BookEvents())
@@ -45,6 +54,9 @@
     private val holder = Holder(settings, state, transport, election, book, now, journal, fleet)
     private val intake = Intake(settings.deployment, book, state, GrantEvents(), now)
 
+    private var publishAt = 0L
+    private var publishedTo = 0
+
     init {
         journal.onClosed = { job, record -> book.rememberFinal(job.id, record) }
     }
@@ -57,6 +69,8 @@
             when (command) {
                 is Command.Serve -> serve(command.request, command.respond)
                 is Command.Answered -> command.done(command.reply)
+                is Command.News -> command.progress.forEach { book.jobs[it.job]?.shown = it }
+                is Command.PeerRefused -> members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
                 Command.Tick -> Unit
             }
         }
@@ -65,9 +79,24 @@
         fleet.driveCatalog(election.holding)
         intake.drive()
         holder.drive()
+        tellProgress()
         state.pump()
     }
 
+    /** The holder's other half of a poll: the rest of the nodes know a job's progress only from here. */
+    private fun tellProgress() {
+        if (!election.holding || now.steady < publishAt) return
+        publishAt = now.steady + Tuning.PUBLISH_MS
+        val all = mesh.joined != publishedTo
+        publishedTo = mesh.joined
+        val news = book.jobs.values.mapNotNull { job ->
+            val p = Progress(job.id, job.finished.cardinality(), job.runningCount)
+            if (!all && p == job.shown) null else p.also { job.shown = it }
+        }
+        // Empty frames too: they show that this node lives.
+        mesh.publish(news)
+    }
+
     private fun serve(request: Request, respond: (Response) -> Unit) {
         when (request.path) {
             "/up" -> respond(if (healthy()) Response(200, "{}") else Intake.error(503, "not ready"))
@@ -101,6 +130,7 @@
     private inner class BookEvents : BookListener {
         override fun grantChanged() {
             election.grantChanged()
+            mesh.follow(book.grant?.node?.let { members[it] })
             log.info("block 0: holder {} by grant {}", book.grant?.node ?: "none", book.grantStamp)
         }
 
--- a/src/main/kotlin/ledgearch/core/Job.kt
+++ b/src/main/kotlin/ledgearch/core/Job.kt
@@ -1,6 +1,7 @@
 package ledgearch.core
 
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
+import ledgearch.mesh.Progress
 import ledgearch.wire.Shapes
 import ledgearch.wire.Urgencies
 import ledgearch.wire.WorkRequest
@@ -46,6 +47,9 @@
     /** The final record is durable. */
     var closed = false
 
+    /** What the holder last told of it, on the nodes that are not holder; what was last told, on the holder. */
+    var shown: Progress? = null
+
     val complete: Boolean get() = !standing && finished.cardinality() == spec.portions
     val runningCount: Int get() = placements.values.count { it.status == TaskStatus.RUNNING }
     val pendingCount: Int get() = spec.portions - taken.cardinality()
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -50,6 +50,7 @@
     private val renting = HashSet<String>()
     private var calmSince = 0L
     private var retiredAt = 0L
+    private var recentPeak = 0.0
     private var rentRetryAt = 0L
     private var bookingSeq = 0L
     private val booting = LinkedHashMap<String, Booting>()
@@ -187,6 +188,9 @@
             }
         }
         val churn = holder.reserve.churn(holder.machines.values)
+        val used = holder.machines.values.sumOf { it.usedCpus }
+        // Load comes in jobs: what it was a moment ago it may be again before a machine could boot.
+        recentPeak = maxOf(used, recentPeak - (recentPeak - used) * Tuning.PLAN_MS / Tuning.PEAK_MEMORY_MS)
         val needs = Demand.of(book().jobs.values, holder, now)
         if (needs.isEmpty()) {
             if (calmSince == 0L) calmSince = now.steady
@@ -296,8 +300,8 @@
         if (now.steady - retiredAt < Tuning.RETIRE_MS) return
         val active = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining && !it.retiring && !it.failed }
         val capacity = active.sumOf { it.rack.vcpus }
-        val used = active.sumOf { it.usedCpus }
-        val reserve = holder.reserve.cpus(churn) + used * Tuning.SPARE_SHARE
+        val used = recentPeak
+        val reserve = holder.reserve.cpus(churn)
         val m = active
             .filter { c -> c.placements.values.none { it.job?.standing == true } && now.steady - c.firstHeardAt > Tuning.KEEP_MS }
             .filter { capacity - it.rack.vcpus >= used + reserve }
@@ -305,7 +309,7 @@
             .maxWithOrNull(compareBy({ (if (it.borrowed) it.rack.lowPrice else it.rack.hourly) / it.rack.vcpus }, { -it.usedCpus })) ?: return
         retiredAt = now.steady
         m.retiring = true
-        log.info("machine {} is not needed: {} of {} processors used, {} to spare", m.name, used, capacity, reserve)
+        log.info("machine {} is not needed: {} of {} processors used, {} to spare", m.name, used.toInt(), capacity.toInt(), reserve.toInt())
     }
 
     private fun call(method: String, target: String, body: String?, done: (Reply) -> Unit) {
--- a/src/main/kotlin/ledgearch/fleet/Reserve.kt
+++ b/src/main/kotlin/ledgearch/fleet/Reserve.kt
@@ -1,5 +1,6 @@
 package ledgearch.fleet
 
+import ledgearch.Tuning
 import ledgearch.config.Objective
 import ledgearch.core.Job
 import ledgearch.core.Machine
@@ -46,7 +47,7 @@
 
     /** Processors to keep free. */
     fun cpus(churn: Double): Double = sizes.entries.maxOfOrNull { (name, s) ->
-        s.mean + s.spread - churn * (withinS[name] ?: 0.0)
+        s.mean + s.spread - churn * (withinS[name] ?: 0.0) * Tuning.CHURN_COUNTED
     }?.coerceAtLeast(0.0) ?: 0.0
 
     private companion object {
--- a/src/main/kotlin/ledgearch/intake/Intake.kt
+++ b/src/main/kotlin/ledgearch/intake/Intake.kt
@@ -277,8 +277,9 @@
     }
 
     private fun openStatus(job: Job): WorkStatus {
-        val running = job.runningCount
-        return WorkStatus(job.id, if (running > 0) WorkStates.RUNNING else WorkStates.PENDING, job.finished.cardinality(), running)
+        val running = if (grant.holding) job.runningCount else job.shown?.running ?: 0
+        val done = if (grant.holding) job.finished.cardinality() else job.shown?.done ?: 0
+        return WorkStatus(job.id, if (running > 0) WorkStates.RUNNING else WorkStates.PENDING, done, running)
     }
 
     private fun finalAnswer(id: String, record: FinalRecord) =
--- a/src/main/kotlin/ledgearch/leader/Election.kt
+++ b/src/main/kotlin/ledgearch/leader/Election.kt
@@ -42,6 +42,7 @@
     private var touchAt = 0L
     private var claiming = false
     private var claimAt = 0L
+    private var challengedAt = Long.MIN_VALUE / 2
     private var standBackUntil = Long.MIN_VALUE
 
     /** The token under which this node holds the block, 0 when it does not. */
@@ -116,6 +117,19 @@
         }
     }
 
+    /**
+     * The holder's process seems to have ended: its grant is taken over without waiting for its lease. Should it
+     * live after all, it is deposed like any other; nothing unsafe can come of it.
+     */
+    fun challenge(holder: String) {
+        val b = book()
+        if (holding || claiming || permit == 0L || !b.loaded || b.grant?.node != holder) return
+        if (now.steady < standBackUntil || now.steady - challengedAt < Tuning.CHALLENGE_MS) return
+        challengedAt = now.steady
+        log.info("block 0: {} refuses connections; its grant {} is claimed", holder, b.grantStamp)
+        claim(b.grantStamp)
+    }
+
     /** A new token for the same holder: fences direct commands that were lost on their way. */
     fun bump() {
         if (!holding || bumping || now.steady - bumpedAt < Tuning.BUMP_MS) return
