--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -237,11 +237,14 @@
     /** Machines. Planned at one time; the need is looked at again before more. */
     const val RENT_AT_ONCE = 40
 
-    /** ms. How slowly a peak of load is forgotten: about two boot times. */
-    const val PEAK_MEMORY_MS = 60_000L
+    /** Factor on the cheapest price from which a machine is dear: waiting a little is better than renting it. */
+    const val DEAR = 2.0
+
+    /** ms. How slowly a peak of load is forgotten: about a boot time. */
+    const val PEAK_MEMORY_MS = 30_000L
 
     /** Share counted on of what running tasks should free: their ends are uncertain. */
-    const val CHURN_COUNTED = 0.3
+    const val CHURN_COUNTED = 0.4
 
     /** ms. Between two plannings of the fleet. */
     const val PLAN_MS = 500L
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -6,6 +6,7 @@
 import ledgearch.core.placement.Placer
 import ledgearch.core.placement.Preemption
 import ledgearch.core.placement.Ranking
+import ledgearch.core.placement.Reliability
 import ledgearch.fleet.Fleet
 import ledgearch.fleet.Reserve
 import ledgearch.http.Reply
@@ -51,8 +52,9 @@
     val teams = Teams(settings.deployment.teams)
     private val estimates = Estimates()
     val reserve = Reserve(settings.deployment.objectives, estimates)
+    private val reliability = Reliability(estimates)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
-    private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), ::start)
+    private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, ::start)
 
     /** The first token of this tenure: a worker that has seen it no longer follows any earlier holder. */
     private var tenure = 0L
@@ -94,6 +96,7 @@
 
     fun jobOpened(job: Job) {
         reserve.opened(job)
+        log.debug("{} opened: {} {} tasks for {}", job.id, job.spec.portions, job.spec.menu, job.spec.crew)
         if (tenure == 0L) return
         // Accepted after the grant: no earlier holder can have learnt of it while it still held the block.
         job.trusted = job.stamp > tenure && !job.record.cancel
@@ -457,6 +460,7 @@
         confirm()
         closeCancelled()
         watchSilence()
+        reliability.count(machines.values, now.steady)
         if (dirty) {
             dirty = false
             machines.values.forEach { it.count() }
@@ -506,6 +510,7 @@
         for (m in machines.values.toList()) {
             if (!silentFor(m, Tuning.LOST_REPORTS)) continue
             if (!m.releasing) {
+                reliability.lost(m)
                 log.warn("machine {} is silent for {} ms; it is released", m.name, now.steady - m.heardAt)
                 fleet.release(m)
             }
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -17,6 +17,7 @@
     private val now: Now,
     private val ranking: Ranking,
     private val preemption: Preemption,
+    private val reliability: Reliability,
     private val start: (Job, Int, Machine) -> Unit,
 ) {
     private val bound = HashMap<Job, Int>()
@@ -89,10 +90,12 @@
                 inHall.merge(p.machine.hall, 1, Int::plus)
             }
         }
+        // Room on a machine that is up costs nothing more; spot first lets dear machines run empty and be returned.
+        val spotFirst = !reliability.spotIsRisky(job)
         return compareBy(
             { inHall[it.hall] ?: 0 },
             { onMachine[it] ?: 0 },
-            { if (it.borrowed) 0 else 1 },
+            { if (it.borrowed == spotFirst) 0 else 1 },
             { if (job.spec.recipe in it.images) 0 else 1 },
             { if (job.spec.recipe in it.images) 0 else it.fetching },
             { it.rack.vcpus - it.usedCpus },
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -214,7 +214,10 @@
             val spec = need.job.spec
             if (!need.job.standing && spec.vcpus > 0) {
                 val startup = book().racks.values.minOfOrNull { it.startupS } ?: 0.0
-                val soon = churn * holder.reserve.startWithinS(need.job, startup) * Tuning.CHURN_COUNTED - freed
+                // Where only dear machines are left to rent, all that frees before one could be up is counted on.
+                val dear = isDear(need.job, cheapest(need.job, holder, planned))
+                val within = if (dear) startup else holder.reserve.startWithinS(need.job, startup)
+                val soon = churn * within * (if (dear) 1.0 else Tuning.CHURN_COUNTED) - freed
                 val served = minOf(left, (soon / spec.vcpus).toInt().coerceAtLeast(0))
                 left -= served
                 freed += served * spec.vcpus
@@ -240,16 +243,25 @@
     }
 
     private fun cheapest(job: Job, holder: Holder, planned: Map<Pool, Int>): Pool? {
+        val pools = pools(job).filter { holder.zoneAllowed(job, it.hall) && now.steady >= (exhausted[key(it)] ?: Long.MIN_VALUE) }
+        return pools.minWithOrNull(compareBy({ it.price }, { p -> booting.values.count { it.pool.hall == p.hall } + (planned[p] ?: 0) }))
+    }
+
+    private fun pools(job: Job): List<Pool> {
         val spec = job.spec
-        val pools = book().racks.values
+        return book().racks.values
             .filter { (spec.racks == null || it.label in spec.racks) && tasksPerMachine(job, it) > 0 }
             .flatMap { rack ->
-                rack.halls.filter { (spec.hall == null || spec.hall == it) && holder.zoneAllowed(job, it) }.flatMap { hall ->
+                rack.halls.filter { spec.hall == null || spec.hall == it }.flatMap { hall ->
                     if (spec.borrowed) listOf(Pool(rack, hall, true), Pool(rack, hall, false)) else listOf(Pool(rack, hall, false))
                 }
             }
-            .filter { now.steady >= (exhausted[key(it)] ?: Long.MIN_VALUE) }
-        return pools.minWithOrNull(compareBy({ it.price }, { p -> booting.values.count { it.pool.hall == p.hall } + (planned[p] ?: 0) }))
+    }
+
+    /** [pool] costs this job much more than the cheapest machine that it may use. */
+    private fun isDear(job: Job, pool: Pool?): Boolean {
+        val least = pools(job).minOfOrNull { it.price } ?: return false
+        return pool != null && pool.price > least * Tuning.DEAR
     }
 
     private fun key(p: Pool) = "${p.rack.label}/${p.hall}/${p.borrowed}"
