Demand of a team's later jobs is no longer cut short; hurried classes go where their image is

Cause: the room left by a team's limit was clamped to one job's size before other jobs were taken off.

--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -281,6 +281,7 @@
             PortionStates.RUNNING -> {
                 if (p.status != TaskStatus.RUNNING) p.runningSince = now.steady
                 p.status = TaskStatus.RUNNING
+                if (job != null) p.machine.fetched.add(job.spec.recipe)
             }
             PortionStates.SAVING -> p.status = TaskStatus.SAVING
             PortionStates.EXITED -> if (!p.exited) exited(p, entry.cause)
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -88,13 +88,21 @@
         return (spec.racks == null || rack.label in spec.racks) && (spec.hall == null || spec.hall == hall) && (spec.borrowed || !borrowed)
     }
 
+    /** Images whose fetch is known to be over: a task that needs one has run here. */
+    val fetched = HashSet<String>()
+
+    /** 0: the image is here, 1: it is being fetched, 2: it is not. */
+    fun imageDistance(image: String) = if (image !in images) 2 else if (image in fetched) 0 else 1
+
     fun touchImage(image: String, gb: Double) {
         images.remove(image)
         images[image] = gb
         var total = images.values.sum()
         val oldest = images.entries.iterator()
         while (total > rack.localGb && images.size > 1 && oldest.hasNext()) {
-            total -= oldest.next().value
+            val (name, size) = oldest.next()
+            total -= size
+            fetched.remove(name)
             oldest.remove()
         }
     }
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -92,12 +92,14 @@
         }
         // Room on a machine that is up costs nothing more; spot first lets dear machines run empty and be returned.
         val spotFirst = !reliability.spotIsRisky(job)
+        val imageFirst = ranking.hurried(job)
         return compareBy(
             { inHall[it.hall] ?: 0 },
             { onMachine[it] ?: 0 },
+            { if (imageFirst) it.imageDistance(job.spec.recipe) else 0 },
             { if (it.borrowed == spotFirst) 0 else 1 },
-            { if (job.spec.recipe in it.images) 0 else 1 },
-            { if (job.spec.recipe in it.images) 0 else it.fetching },
+            { it.imageDistance(job.spec.recipe) },
+            { if (it.imageDistance(job.spec.recipe) == 2) it.fetching else 0 },
             { it.rack.vcpus - it.usedCpus },
         )
     }
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -20,6 +20,14 @@
         .groupBy({ it.jobClass.orEmpty() }, { it.times })
         .mapValues { it.value.sorted() }
 
+    private val startWithin: Map<String, Double> = objectives
+        .filter { it.kind == "wait" && it.jobClass != null && it.withinS != null }
+        .groupBy { it.jobClass.orEmpty() }
+        .mapValues { (_, list) -> list.minOf { it.withinS ?: 0.0 } }
+
+    /** The job's class is to start sooner than an image can be fetched. */
+    fun hurried(job: Job): Boolean = (startWithin[job.spec.menu] ?: Double.MAX_VALUE) < job.spec.sizeGb * FETCH_S_PER_GB
+
     private class Rank(val job: Job, val guaranteed: Boolean, val lateness: Int, val cost: Double)
 
     /** Jobs of one urgency, first to be served first. */
@@ -50,5 +58,8 @@
     private companion object {
         /** Share of a job's tasks' worth of work that a second of waiting makes up for. */
         const val AGE_CREDIT = 0.25
+
+        /** Seconds a gigabyte: what the slowest of the usual machine types take. */
+        const val FETCH_S_PER_GB = 4.0
     }
 }
--- a/src/main/kotlin/ledgearch/fleet/Demand.kt
+++ b/src/main/kotlin/ledgearch/fleet/Demand.kt
@@ -53,8 +53,7 @@
                 .sortedWith(compareBy({ it.urgency }, { it.record.at }))
                 .mapNotNull { job ->
                     val taken = perTeam[job.spec.crew] ?: 0.0
-                    val room = holder.teams.roomFor(job) - if (job.spec.vcpus > 0) (taken / job.spec.vcpus).toInt() else 0
-                    val tasks = minOf(job.pendingCount, room)
+                    val tasks = minOf(job.pendingCount, holder.teams.roomFor(job, taken))
                     if (tasks <= 0) return@mapNotNull null
                     perTeam[job.spec.crew] = taken + tasks * job.spec.vcpus
                     Demand(job, tasks)
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -232,6 +232,9 @@
                 planned.merge(pool, 1, Int::plus)
             }
         }
+        if (needs.isNotEmpty() && log.isDebugEnabled) {
+            log.debug("{} jobs wait for room; churn {} a second, {} machines coming, planned {}", needs.size, churn, booting.size, planned.values.sum())
+        }
         for ((pool, count) in planned) if (key(pool) !in renting && bucket.has(1)) rent(pool, count)
     }
 
