--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -150,8 +150,11 @@
     /** ms. A direct command; a healthy worker answers within a few ms. */
     const val PUSH_MS = 2_000L
 
-    /** ms. Between two tries to reach an unconfirmed machine directly. */
-    const val PROBE_MS = 1_500L
+    /** ms. Between two tries to reach an unconfirmed machine directly, and the time that one may take. */
+    const val PROBE_MS = 900L
+
+    /** Probes in a row without an answer after which an inherited machine is released. */
+    const val PROBES = 2
 
     /** Reports. A machine silent for this many report intervals gets no new tasks. */
     const val SUSPECT_REPORTS = 1.7
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -435,13 +435,15 @@
         m.pushing = true
         m.probeAt = now.steady + Tuning.PROBE_MS
         val mine = tenure
-        transport.call(m.endpoint, "GET", "/show", null, Tuning.PUSH_MS) { shown ->
+        transport.call(m.endpoint, "GET", "/show", null, Tuning.PROBE_MS) { shown ->
             if (tenure != mine) return@call
             val report = if (shown.status == 200) parse(shown) else null
             if (report == null || machines[m.name] !== m || report.stove != m.name) {
                 m.pushing = false
+                m.probesFailed++
                 return@call
             }
+            m.probesFailed = 0
             hear(m, report, isReport = false)
             direct(m, emptyList()) { reply ->
                 if (tenure != mine) return@direct
@@ -476,6 +478,7 @@
 
     private fun confirm() {
         for (m in machines.values) if (!m.confirmed && !m.releaseSent) probe(m)
+        releaseUnreachable()
         if (allConfirmedLogged || unconfirmed > 0) return
         allConfirmedLogged = true
         book.jobs.values.forEach { it.trusted = true }
@@ -483,6 +486,21 @@
         log.info("block 0: every recorded machine is confirmed")
     }
 
+    /**
+     * An inherited machine that answers no probe while most others do is most likely gone already, and every older
+     * job waits for it: it is released sooner than a silent machine would be otherwise.
+     */
+    private fun releaseUnreachable() {
+        val inherited = machines.values.filter { it.inherited }
+        val missing = inherited.filter { !it.confirmed && !it.releasing && it.probesFailed >= Tuning.PROBES }
+        if (missing.isEmpty() || inherited.count { it.confirmed } <= inherited.size * Tuning.SILENT_SHARE) return
+        for (m in missing) {
+            log.warn("machine {} of the block answers no probe; it is released", m.name)
+            reliability.lost(m)
+            fleet.release(m)
+        }
+    }
+
     /** A cancelled job is over once no machine can start one of its tasks without this holder's word. */
     private fun closeCancelled() {
         for (job in book.jobs.values) {
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -37,6 +37,7 @@
     /** A direct command went unanswered; none is sent before the worker is heard again. */
     var pushBroken = false
     var probeAt = 0L
+    var probesFailed = 0
 
     /** Nothing new is started: to be emptied and returned. */
     var draining = false
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -23,6 +23,9 @@
     private val bound = HashMap<Job, Int>()
     private var homeTurn = 0
 
+    /** Images of arrays that are to start at once; machines that have one are left to those while others have room. */
+    private val hurriedImages = HashSet<String>()
+
     fun forget(job: Job) {
         if (bound.remove(job) == null) return
         for (m in machines.values) while (m.queue.unbind(job)) Unit
@@ -39,6 +42,7 @@
         if (open.isEmpty()) return
         val usable = machines.values.filter { usable(it) }
         val lists = PreferredLists(usable)
+        for (job in open) if (!job.standing && ranking.hurried(job)) hurriedImages.add(job.spec.recipe)
         val waiting = ArrayList<Job>()
         for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
             val ordered = ranking.order(sameUrgency, teams)
@@ -96,7 +100,7 @@
         return compareBy(
             { inHall[it.hall] ?: 0 },
             { onMachine[it] ?: 0 },
-            { if (imageFirst) it.imageDistance(job.spec.recipe) else 0 },
+            { if (imageFirst) it.imageDistance(job.spec.recipe) else if (job.standing) 0 else hurriedImagesOn(it) },
             { if (it.borrowed == spotFirst) 0 else 1 },
             { it.imageDistance(job.spec.recipe) },
             { if (it.imageDistance(job.spec.recipe) == 2) it.fetching else 0 },
@@ -104,6 +108,8 @@
         )
     }
 
+    private fun hurriedImagesOn(m: Machine) = hurriedImages.count { it in m.fetched }
+
     private fun bindRest(job: Job, usable: List<Machine>, lists: PreferredLists) {
         val fitting = usable.filter { it.allows(job) && zoneAllowed(job, it.hall) }
         if (fitting.isEmpty()) return
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -50,7 +50,7 @@
                 val fitting = rooms.filter { it.machine.allows(job) && zoneAllowed(job, it.machine.hall) }
                 val cpus = promised[job.spec.crew] ?: 0.0
                 val guaranteed = teams.guaranteed(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
-                val room = fitting.firstOrNull { it.fits(job) } ?: makeRoom(job, guaranteed, fitting) ?: break
+                val room = fitting.filter { it.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) } ?: makeRoom(job, guaranteed, fitting) ?: break
                 room.take(job, -1.0)
                 promised[job.spec.crew] = cpus + job.spec.vcpus
                 left--
@@ -63,7 +63,7 @@
         var bestCost = Double.MAX_VALUE
         for (room in rooms) {
             val victims = victims(job, guaranteed, room) ?: continue
-            val cost = victims.sumOf { lost(it) }
+            val cost = victims.sumOf { lost(it) } + room.machine.imageDistance(job.spec.recipe) * FETCH
             if (cost < bestCost) {
                 bestCost = cost
                 best = room to victims
@@ -114,6 +114,9 @@
         /** Processor seconds. What a start is worth by itself: its image is there, its users see it run. */
         const val STARTED = 5.0
 
+        /** Processor seconds. What an image that is already there, or half there, is worth. */
+        const val FETCH = 20.0
+
         /** Share of its worth that work of a job keeps when the job is late. */
         const val LATE_WORTH = 0.5
     }
