Serve a machine whose release is decided until the release is carried out

Cause: with the cloud out, a machine cut off for 11 s was marked for release; when it was heard again it got 200 (renewing its lease) without the answer being counted and without orders. A renewed token now also makes the check that a claim makes for a grant that came later.

--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -181,11 +181,12 @@
         }
         if (!machinesRead) return emptyList()
         val m = machines[report.stove] ?: adopt(report) ?: return emptyList()
-        if (m.failed || m.releasing) return emptyList()
+        // Every answer may renew the worker's lease, also that of a machine being released: until the release is
+        // carried out, its tasks are on it and must be stopped like any others.
+        m.answeredAt = now.steady
         hear(m, report, isReport = true)
         if (report.shift != m.shift || !ready) return emptyList()
-        // An answer may renew the worker's lease, and its orders are carried out or dropped before its next report.
-        m.answeredAt = now.steady
+        // The orders are carried out or dropped before the worker's next report.
         return orders(m).onEach { order ->
             val p = m.placements.get(order.`try`)
             if (order.verb == Verbs.START && p != null) p.sentInReplyTo = maxOf(p.sentInReplyTo, report.ticket)
--- a/src/main/kotlin/ledgearch/leader/Election.kt
+++ b/src/main/kotlin/ledgearch/leader/Election.kt
@@ -141,6 +141,7 @@
             bumping = false
             when (result) {
                 is TxnResult.Ok -> {
+                    if (superseded(result.edition)) return@txn lose("another grant was made")
                     log.info("block 0: token {} replaces {}", result.edition, old)
                     token = result.edition
                     listener.granted(token, fresh = false)
@@ -153,6 +154,12 @@
         }
     }
 
+    /** The watch has already shown what came after the grant made at [edition]. */
+    private fun superseded(edition: Long): Boolean {
+        val b = book()
+        return b.grantStamp > edition || (b.grantStamp == 0L && b.revision > edition)
+    }
+
     private fun put() = Change(put = Keys.grant(0), v = record(), permit = permit)
 
     private fun record(): JsonElement = WireJson.encodeToJsonElement(GrantRecord.serializer(), GrantRecord(node, life))
@@ -164,9 +171,7 @@
             claiming = false
             when (result) {
                 is TxnResult.Ok -> {
-                    val b = book()
-                    // The watch may already have shown what came after.
-                    if (b.grantStamp > result.edition || (b.grantStamp == 0L && b.revision > result.edition)) return@txn
+                    if (superseded(result.edition)) return@txn
                     token = result.edition
                     verifiedAt = sentAt
                     grantedAt = now.steady
