One piece of code each for room, startable, allowed places, records, prices and accepting

Three copies of the room arithmetic, two each of the filter for startable jobs, of the reading of records, of the wait aims by class and of listening and accepting are one now; fields and constants that nothing read are gone, the preferred lists are built only when something waits, and what a preemption pass needs once a job is computed once.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -156,9 +156,6 @@
     /** Probes in a row without an answer after which an inherited machine is released. */
     const val PROBES = 2
 
-    /** Reports. A machine silent for this many report intervals gets no new tasks. */
-    const val SUSPECT_REPORTS = 1.7
-
     /** Reports. A machine silent for this many is given up and released. */
     const val LOST_REPORTS = 3.5
 
--- a/src/main/kotlin/ledgearch/config/Settings.kt
+++ b/src/main/kotlin/ledgearch/config/Settings.kt
@@ -51,6 +51,12 @@
     val times: Double = 1.0,
 )
 
+/** For each class that is to start within a time, the shortest one asked for, in seconds. */
+internal fun List<Objective>.startWithinS(): Map<String, Double> = this
+    .filter { it.kind == "wait" && it.jobClass != null && it.withinS != null }
+    .groupBy { it.jobClass.orEmpty() }
+    .mapValues { (_, list) -> list.minOf { it.withinS ?: 0.0 } }
+
 @Serializable
 data class WorkerTimes(
     @SerialName("report_s") val reportS: Double,
--- a/src/main/kotlin/ledgearch/core/Book.kt
+++ b/src/main/kotlin/ledgearch/core/Book.kt
@@ -2,8 +2,6 @@
 
 import com.github.benmanes.caffeine.cache.Cache
 import com.github.benmanes.caffeine.cache.Caffeine
-import kotlinx.serialization.DeserializationStrategy
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonElement
 import ledgearch.Tuning
 import ledgearch.state.Lane
@@ -12,7 +10,6 @@
 import ledgearch.wire.KeyValue
 import ledgearch.wire.News
 import ledgearch.wire.Rack
-import ledgearch.wire.WireJson
 import org.slf4j.LoggerFactory
 
 /** What changed in the watched part of the state service. */
@@ -176,7 +173,7 @@
         if (put != null) {
             when {
                 put.startsWith(Keys.JOBS) -> putJob(put, news.v, news.stamp)
-                put.startsWith(Keys.FINALS) -> decode(FinalRecord.serializer(), news.v)?.let { rememberFinal(put.removePrefix(Keys.FINALS), it) }
+                put.startsWith(Keys.FINALS) -> decodeRecord(FinalRecord.serializer(), news.v)?.let { rememberFinal(put.removePrefix(Keys.FINALS), it) }
                 put == Keys.grant(0) && news.stamp > grantStamp -> setGrant(news.v, news.stamp)
                 put == Keys.CATALOG -> news.v?.let { setCatalog(it) }
             }
@@ -197,31 +194,24 @@
     }
 
     private fun putJob(key: String, value: JsonElement?, stamp: Long) {
-        val record = decode(JobRecord.serializer(), value) ?: return
+        val record = decodeRecord(JobRecord.serializer(), value) ?: return
         if (key != Keys.job(record.spec.ref)) return
         put(record, stamp)
     }
 
     private fun setGrant(value: JsonElement?, stamp: Long) {
         if (stamp == grantStamp) return
-        grant = value?.let { decode(GrantRecord.serializer(), it) }
+        grant = value?.let { decodeRecord(GrantRecord.serializer(), it) }
         grantStamp = stamp
         listener.grantChanged()
     }
 
     private fun setCatalog(value: JsonElement) {
-        decode(CatalogRecord.serializer(), value)?.let { setRacks(it.racks) }
+        decodeRecord(CatalogRecord.serializer(), value)?.let { setRacks(it.racks) }
     }
 
     fun setRacks(list: List<Rack>) {
         racks = list.associateBy { it.label }
         listener.racksChanged()
     }
-
-    private fun <T> decode(serializer: DeserializationStrategy<T>, value: JsonElement?): T? = try {
-        value?.let { WireJson.decodeFromJsonElement(serializer, it) }
-    } catch (e: SerializationException) {
-        log.error("a record in the state service can't be read and is left alone: {}", e.message)
-        null
-    }
 }
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -25,8 +25,6 @@
 import ledgearch.wire.WireJson
 import ledgearch.wire.WorkStates
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.JsonElement
-import kotlinx.serialization.DeserializationStrategy
 import org.slf4j.LoggerFactory
 
 /**
@@ -153,18 +151,15 @@
     private fun restore(prefix: String, pair: KeyValue) {
         val name = pair.key.removePrefix(prefix)
         if (prefix == Keys.MACHINES) {
-            val record = decode(MachineRecord.serializer(), pair.v) ?: return
-            machines[name] = Machine(name, record.endpoint, record.rack, record.hall, record.borrowed).also {
+            val record = decodeRecord(MachineRecord.serializer(), pair.v) ?: return
+            machines[name] = Machine(name, record.endpoint, record.rack, record.hall, record.borrowed, now.steady).also {
                 it.inherited = true
                 it.durable = true
-                it.heardAt = now.steady
-                it.firstHeardAt = now.steady
-                it.emptySince = now.steady
             }
         } else {
             val id = name.substringBefore('/')
             val job = book.jobs[id]
-            val record = decode(FinishedRecord.serializer(), pair.v)
+            val record = decodeRecord(FinishedRecord.serializer(), pair.v)
             if (job == null) journal.remove(pair.key) else if (record != null) job.restoreFinished(record.r, name.substringAfter('/').toIntOrNull() ?: 0)
         }
     }
@@ -197,10 +192,7 @@
     private fun adopt(report: CheckIn): Machine? {
         val rack = book.racks[report.rack] ?: return null
         if (fleet.isReturned(report.stove)) return null
-        val m = Machine(report.stove, report.endpoint, rack, report.hall, report.borrowed)
-        m.heardAt = now.steady
-        m.firstHeardAt = now.steady
-        m.emptySince = now.steady
+        val m = Machine(report.stove, report.endpoint, rack, report.hall, report.borrowed, now.steady)
         m.answeredAt = now.steady
         machines[m.name] = m
         journal.bind(m)
@@ -566,13 +558,6 @@
         null
     }
 
-    private fun <T> decode(serializer: DeserializationStrategy<T>, value: JsonElement?): T? = try {
-        value?.let { WireJson.decodeFromJsonElement(serializer, it) }
-    } catch (e: SerializationException) {
-        log.error("a record in the state service can't be read and is left alone: {}", e.message)
-        null
-    }
-
     private companion object {
         /** Bits of an attempt's number that count within a tenure; the token above them makes it unique for ever. */
         const val ATTEMPT_BITS = 20
--- a/src/main/kotlin/ledgearch/core/Job.kt
+++ b/src/main/kotlin/ledgearch/core/Job.kt
@@ -2,6 +2,7 @@
 
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
 import ledgearch.mesh.Progress
+import ledgearch.wire.Rack
 import ledgearch.wire.Shapes
 import ledgearch.wire.Urgencies
 import ledgearch.wire.WorkRequest
@@ -50,6 +51,15 @@
     /** What the holder last told of it, on the nodes that are not holder; what was last told, on the holder. */
     var shown: Progress? = null
 
+    /** Waits for room, and nothing else holds it back. */
+    fun startable(nowMs: Long) = trusted && !closing && !record.cancel && pendingCount > 0 && nowMs >= notBefore
+
+    /** Its tasks may run on machines of this type, zone and kind. */
+    fun allows(rack: Rack, hall: String, borrowed: Boolean): Boolean {
+        val spec = spec
+        return (spec.racks == null || rack.label in spec.racks) && (spec.hall == null || spec.hall == hall) && (spec.borrowed || !borrowed)
+    }
+
     val complete: Boolean get() = !standing && finished.cardinality() == spec.portions
     val runningCount: Int get() = placements.values.count { it.status == TaskStatus.RUNNING }
     val pendingCount: Int get() = spec.portions - taken.cardinality()
--- a/src/main/kotlin/ledgearch/core/Journal.kt
+++ b/src/main/kotlin/ledgearch/core/Journal.kt
@@ -28,14 +28,10 @@
     private val closings = LinkedHashMap<String, Pair<Job, String>>()
     private val progress = LinkedHashMap<String, Job>()
     private var catalog: CatalogRecord? = null
-    private var catalogPut = false
 
     /** A job's final record is durable. */
     var onClosed: (Job, FinalRecord) -> Unit = { _, _ -> }
 
-    /** Completions up to this writing are durable. */
-    var onProgress: (Job) -> Unit = {}
-
     fun clear() {
         machinePuts.clear()
         removals.clear()
@@ -156,7 +152,6 @@
         if (book.jobs[job.id] !== job) chunks.forEach { removals.add(Keys.finished(job.id, it)) }
         job.recorded.or(snapshot)
         if (job.dirtyChunks.isEmpty) progress.remove(job.id)
-        onProgress(job)
     }
 
     private fun <T> encode(serializer: KSerializer<T>, value: T): JsonElement = WireJson.encodeToJsonElement(serializer, value)
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -5,7 +5,14 @@
 import ledgearch.wire.Rack
 
 /** A machine of the block, as its holder knows it. */
-internal class Machine(val name: String, val endpoint: String, val rack: Rack, val hall: String, val borrowed: Boolean) {
+internal class Machine(
+    val name: String,
+    val endpoint: String,
+    val rack: Rack,
+    val hall: String,
+    val borrowed: Boolean,
+    val knownSince: Long,
+) {
     /** The record that binds the machine to the block is in the state service. */
     var durable = false
 
@@ -24,10 +31,8 @@
     val queue = MachineQueue()
 
     /** Steady ms of the last news from the worker, and of the last answer that may have renewed its lease. */
-    var heardAt = 0L
+    var heardAt = knownSince
     var answeredAt = 0L
-    var firstHeardAt = 0L
-    var emptySince = 0L
 
     /** Steady ms at which the cloud takes the machine, or 0. */
     var recallAt = 0L
@@ -46,7 +51,6 @@
     var retiring = false
     var releasing = false
     var releaseSent = false
-    var failed = false
 
     /** Failures in a row by tasks of different jobs. */
     val errorJobs = LinkedHashSet<String>()
@@ -56,38 +60,24 @@
     /** Images seen here, the last used at the end. */
     val images = LinkedHashMap<String, Double>()
 
-    var usedCpus = 0.0
-    var usedGpus = 0.0
-    var usedMemory = 0.0
+    private var room = Room(rack)
+    val usedCpus: Double get() = rack.vcpus - room.cpus
     var fetching = 0
 
     fun count() {
-        usedCpus = 0.0
-        usedGpus = 0.0
-        usedMemory = 0.0
+        room = Room(rack)
         fetching = 0
         for (p in placements.values) {
             if (p.exited) continue
             if (p.status == TaskStatus.FETCHING || p.status == TaskStatus.DECIDED) fetching++
-            val spec = p.job?.spec
-            usedCpus += spec?.vcpus ?: rack.vcpus
-            usedGpus += spec?.accelerators ?: rack.accelerators
-            usedMemory += spec?.memoryGb ?: rack.memoryGb
+            room.take(p.job)
         }
     }
 
-    fun hasRoom(job: Job): Boolean {
-        val spec = job.spec
-        return usedCpus + spec.vcpus <= rack.vcpus + ROUNDING &&
-            usedGpus + spec.accelerators <= rack.accelerators + ROUNDING &&
-            usedMemory + spec.memoryGb <= rack.memoryGb + ROUNDING
-    }
+    fun hasRoom(job: Job): Boolean = room.fits(job)
 
     /** Type, zone and kind allow tasks of [job]. */
-    fun allows(job: Job): Boolean {
-        val spec = job.spec
-        return (spec.racks == null || rack.label in spec.racks) && (spec.hall == null || spec.hall == hall) && (spec.borrowed || !borrowed)
-    }
+    fun allows(job: Job): Boolean = job.allows(rack, hall, borrowed)
 
     /** Images whose fetch is known to be over: a task that needs one has run here. */
     val fetched = HashSet<String>()
--- a/src/main/kotlin/ledgearch/core/Records.kt
+++ b/src/main/kotlin/ledgearch/core/Records.kt
@@ -1,8 +1,23 @@
 package ledgearch.core
 
+import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonElement
 import ledgearch.wire.Rack
+import ledgearch.wire.WireJson
 import ledgearch.wire.WorkRequest
+import org.slf4j.LoggerFactory
+
+private val log = LoggerFactory.getLogger("ledgearch.state")
+
+/** A stored value as a record, or null when something else must have written it. */
+internal fun <T> decodeRecord(serializer: DeserializationStrategy<T>, value: JsonElement?): T? = try {
+    value?.let { WireJson.decodeFromJsonElement(serializer, it) }
+} catch (e: SerializationException) {
+    log.error("a record in the state service can't be read and is left alone: {}", e.message)
+    null
+}
 
 /** What the state service holds; every key of the service is named here. */
 internal object Keys {
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -1,6 +1,5 @@
 package ledgearch.core.placement
 
-import ledgearch.Tuning
 import ledgearch.core.Job
 import ledgearch.core.Machine
 import ledgearch.core.Now
@@ -38,10 +37,9 @@
 
     /** Counts of machines and teams must be fresh. */
     fun pass(jobs: Collection<Job>) {
-        val open = jobs.filter { it.trusted && !it.closing && !it.record.cancel && it.pendingCount > 0 && now.steady >= it.notBefore }
+        val open = jobs.filter { it.startable(now.steady) }
         if (open.isEmpty()) return
         val usable = machines.values.filter { usable(it) }
-        val lists = PreferredLists(usable)
         for (job in open) if (!job.standing && ranking.hurried(job)) hurriedImages.add(job.spec.recipe)
         val waiting = ArrayList<Job>()
         for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
@@ -51,20 +49,22 @@
                 if (job.pendingCount > 0) waiting.add(job)
             }
         }
+        if (waiting.isEmpty()) return
         preemption.pass(waiting, usable, ::zoneAllowed)
+        val lists = PreferredLists(usable)
         for (job in waiting) bindRest(job, usable, lists)
     }
 
     private fun usable(m: Machine) =
-        m.durable && m.confirmed && !m.draining && !m.retiring && !m.releasing && !m.failed && !m.pushBroken && m.recallAt == 0L && now.steady >= m.refusedUntil
+        m.durable && m.confirmed && !m.draining && !m.retiring && !m.releasing && !m.pushBroken && m.recallAt == 0L && now.steady >= m.refusedUntil
 
     private fun startOne(job: Job, usable: List<Machine>): Boolean {
         val index = job.nextPending() ?: return false
         if (!teams.allows(job)) return false
-        // The machine whose queue the task waits in goes first; a buddy with room takes it over otherwise.
         val fitting = usable.filter { eligible(job, it) }
         if (fitting.isEmpty()) return false
         val m = fitting.minWith(preference(job))
+        // A bound task that starts leaves the queue that it waited in, its machine's own if it can be.
         if ((bound[job] ?: 0) >= job.pendingCount) {
             val queue = if (m.queue.unbind(job)) m.queue else machines.values.firstOrNull { it.queue.unbind(job) }?.queue
             if (queue != null) unbound(job)
@@ -116,7 +116,7 @@
         var rest = job.pendingCount - (bound[job] ?: 0)
         while (rest > 0) {
             val home = fitting[homeTurn++ % fitting.size]
-            val target = if (home.queue.band != Band.OVERLOADED && home.queue.length <= Tuning.TH_V) {
+            val target = if (home.queue.band != Band.OVERLOADED) {
                 home
             } else {
                 lists.of(home).firstOrNull { it.queue.band == Band.UNDERLOADED && it.allows(job) && zoneAllowed(job, it.hall) } ?: return
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -4,6 +4,7 @@
 import ledgearch.core.Machine
 import ledgearch.core.Now
 import ledgearch.core.Placement
+import ledgearch.core.Room
 import ledgearch.core.Stop
 import ledgearch.core.TaskStatus
 import ledgearch.core.Teams
@@ -19,67 +20,55 @@
     private val stop: (Placement) -> Unit,
 ) {
     /** Room on a machine once what is being stopped there is gone, less what this pass has promised of it. */
-    private class Room(val machine: Machine) {
-        var cpus = machine.rack.vcpus
-        var gpus = machine.rack.accelerators
-        var memory = machine.rack.memoryGb
-
-        init {
-            for (p in machine.placements.values) if (!p.exited && p.stop == Stop.NONE) take(p.job, -1.0)
-        }
-
-        fun take(job: Job?, sign: Double) {
-            cpus += sign * (job?.spec?.vcpus ?: machine.rack.vcpus)
-            gpus += sign * (job?.spec?.accelerators ?: machine.rack.accelerators)
-            memory += sign * (job?.spec?.memoryGb ?: machine.rack.memoryGb)
+    private class Prospect(val machine: Machine) {
+        val room = Room(machine.rack).apply {
+            for (p in machine.placements.values) if (!p.exited && p.stop == Stop.NONE) take(p.job)
         }
-
-        fun fits(job: Job) = job.spec.vcpus <= cpus + Machine.ROUNDING &&
-            job.spec.accelerators <= gpus + Machine.ROUNDING && job.spec.memoryGb <= memory + Machine.ROUNDING
     }
 
     /** [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them. */
     fun pass(waiting: List<Job>, usable: List<Machine>, zoneAllowed: (Job, String) -> Boolean) {
-        if (waiting.isEmpty()) return
-        val rooms = usable.map { Room(it) }
+        val prospects = usable.map { Prospect(it) }
         // Tasks of each team that this pass has found or made room for, in processors.
         val promised = HashMap<String, Double>()
         for (job in waiting) {
+            val fitting = prospects.filter { it.machine.allows(job) && zoneAllowed(job, it.machine.hall) }
             var left = minOf(job.pendingCount, teams.roomFor(job))
             while (left > 0) {
-                val fitting = rooms.filter { it.machine.allows(job) && zoneAllowed(job, it.machine.hall) }
                 val cpus = promised[job.spec.crew] ?: 0.0
                 val guaranteed = teams.guaranteed(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
-                val room = fitting.filter { it.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) } ?: makeRoom(job, guaranteed, fitting) ?: break
-                room.take(job, -1.0)
+                val found = fitting.filter { it.room.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) }
+                val prospect = found ?: makeRoom(job, guaranteed, fitting) ?: break
+                prospect.room.take(job)
                 promised[job.spec.crew] = cpus + job.spec.vcpus
                 left--
             }
         }
     }
 
-    private fun makeRoom(job: Job, guaranteed: Boolean, rooms: List<Room>): Room? {
-        var best: Pair<Room, List<Placement>>? = null
+    private fun makeRoom(job: Job, guaranteed: Boolean, prospects: List<Prospect>): Prospect? {
+        var best: Pair<Prospect, List<Placement>>? = null
         var bestCost = Double.MAX_VALUE
-        for (room in rooms) {
-            val victims = victims(job, guaranteed, room) ?: continue
-            val cost = victims.sumOf { lost(it) } + room.machine.imageDistance(job.spec.recipe) * FETCH
+        for (prospect in prospects) {
+            val victims = victims(job, guaranteed, prospect) ?: continue
+            val cost = victims.sumOf { lost(it) } + prospect.machine.imageDistance(job.spec.recipe) * FETCH
             if (cost < bestCost) {
                 bestCost = cost
-                best = room to victims
+                best = prospect to victims
             }
         }
-        val (room, victims) = best ?: return null
+        val (prospect, victims) = best ?: return null
         for (v in victims) {
-            room.take(v.job, 1.0)
+            prospect.room.give(v.job)
             v.job?.let(teams::giveUp)
             stop(v)
         }
-        return room
+        return prospect
     }
 
-    private fun victims(job: Job, guaranteed: Boolean, room: Room): List<Placement>? {
-        val candidates = room.machine.placements.values
+    private fun victims(job: Job, guaranteed: Boolean, prospect: Prospect): List<Placement>? {
+        val room = prospect.room
+        val candidates = prospect.machine.placements.values
             .filter { !it.exited && it.stop == Stop.NONE && it.job != null && mayStop(job, guaranteed, it.job) }
             .sortedBy { lost(it) }
         val chosen = ArrayList<Placement>()
@@ -87,11 +76,11 @@
             // The team of an earlier choice may have nothing more to spare.
             if (c.job != null && c.job.urgency == job.urgency && chosen.any { it.job?.spec?.crew == c.job.spec.crew }) continue
             chosen.add(c)
-            room.take(c.job, 1.0)
+            room.give(c.job)
             if (room.fits(job)) break
         }
         val enough = room.fits(job)
-        chosen.forEach { room.take(it.job, -1.0) }
+        chosen.forEach { room.take(it.job) }
         return if (enough) chosen else null
     }
 
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -1,6 +1,7 @@
 package ledgearch.core.placement
 
 import ledgearch.config.Objective
+import ledgearch.config.startWithinS
 import ledgearch.core.Job
 import ledgearch.core.Now
 import ledgearch.core.Teams
@@ -20,10 +21,7 @@
         .groupBy({ it.jobClass.orEmpty() }, { it.times })
         .mapValues { it.value.sorted() }
 
-    private val startWithin: Map<String, Double> = objectives
-        .filter { it.kind == "wait" && it.jobClass != null && it.withinS != null }
-        .groupBy { it.jobClass.orEmpty() }
-        .mapValues { (_, list) -> list.minOf { it.withinS ?: 0.0 } }
+    private val startWithin: Map<String, Double> = objectives.startWithinS()
 
     /** The job's class is to start sooner than an image can be fetched. */
     fun hurried(job: Job): Boolean = (startWithin[job.spec.menu] ?: Double.MAX_VALUE) < job.spec.sizeGb * FETCH_S_PER_GB
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -33,7 +33,7 @@
     private val journal: () -> Journal,
 ) {
     private data class Pool(val rack: Rack, val hall: String, val borrowed: Boolean) {
-        val price: Double get() = (if (borrowed) rack.lowPrice else rack.hourly) / rack.vcpus
+        val price: Double get() = price(rack, borrowed)
     }
 
     private class Booting(val pool: Pool, val since: Long)
@@ -160,10 +160,7 @@
             "failed" -> {
                 log.info("machine {} has failed", stove.ref)
                 toRelease.add(stove.ref)
-                if (m != null) {
-                    m.failed = true
-                    holder.machineGone(m)
-                }
+                m?.let(holder::machineGone)
             }
             "booting" -> if (m == null) {
                 val rack = book().racks[stove.rack] ?: return
@@ -251,14 +248,10 @@
     }
 
     private fun pools(job: Job): List<Pool> {
-        val spec = job.spec
         return book().racks.values
-            .filter { (spec.racks == null || it.label in spec.racks) && tasksPerMachine(job, it) > 0 }
-            .flatMap { rack ->
-                rack.halls.filter { spec.hall == null || spec.hall == it }.flatMap { hall ->
-                    if (spec.borrowed) listOf(Pool(rack, hall, true), Pool(rack, hall, false)) else listOf(Pool(rack, hall, false))
-                }
-            }
+            .filter { tasksPerMachine(job, it) > 0 }
+            .flatMap { rack -> rack.halls.flatMap { hall -> listOf(Pool(rack, hall, true), Pool(rack, hall, false)) } }
+            .filter { job.allows(it.rack, it.hall, it.borrowed) }
     }
 
     /** [pool] costs this job much more than the cheapest machine that it may use. */
@@ -292,7 +285,6 @@
 
     private fun returnEmpty(holder: Holder) {
         for (m in holder.machines.values.toList()) {
-            if (m.placements.isNotEmpty()) m.emptySince = now.steady
             if ((m.draining || m.retiring) && m.placements.isEmpty() && m.confirmed && !m.releasing) {
                 log.info("machine {} is empty and not needed; it is returned", m.name)
                 release(m)
@@ -313,15 +305,15 @@
     /** One machine at a time is emptied for good, the dearest first, while what is left holds the load and the reserve. */
     private fun retire(holder: Holder, churn: Double) {
         if (now.steady - retiredAt < Tuning.RETIRE_MS) return
-        val active = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining && !it.retiring && !it.failed }
+        val active = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining && !it.retiring }
         val capacity = active.sumOf { it.rack.vcpus }
         val used = recentPeak
         val reserve = holder.reserve.cpus(churn)
         val m = active
-            .filter { c -> c.placements.values.none { it.job?.standing == true } && now.steady - c.firstHeardAt > Tuning.KEEP_MS }
+            .filter { c -> c.placements.values.none { it.job?.standing == true } && now.steady - c.knownSince > Tuning.KEEP_MS }
             .filter { capacity - it.rack.vcpus >= used + reserve }
             .filter { c -> c.borrowed || active.any { it !== c && !it.borrowed && it.hall == c.hall } }
-            .maxWithOrNull(compareBy({ (if (it.borrowed) it.rack.lowPrice else it.rack.hourly) / it.rack.vcpus }, { -it.usedCpus })) ?: return
+            .maxWithOrNull(compareBy({ price(it.rack, it.borrowed) }, { -it.usedCpus })) ?: return
         retiredAt = now.steady
         m.retiring = true
         log.info("machine {} is not needed: {} of {} processors used, {} to spare", m.name, used.toInt(), capacity.toInt(), reserve.toInt())
@@ -341,5 +333,8 @@
 
     private companion object {
         const val MAX_RELEASE = 100
+
+        /** Of a processor for an hour. */
+        fun price(rack: Rack, borrowed: Boolean) = (if (borrowed) rack.lowPrice else rack.hourly) / rack.vcpus
     }
 }
--- a/src/main/kotlin/ledgearch/fleet/Reserve.kt
+++ b/src/main/kotlin/ledgearch/fleet/Reserve.kt
@@ -2,6 +2,7 @@
 
 import ledgearch.Tuning
 import ledgearch.config.Objective
+import ledgearch.config.startWithinS
 import ledgearch.core.Job
 import ledgearch.core.Machine
 import ledgearch.core.TaskStatus
@@ -25,10 +26,7 @@
     }
 
     /** Seconds within which tasks of a class are to start, where that is asked for. */
-    private val withinS: Map<String, Double> = objectives
-        .filter { it.kind == "wait" && it.jobClass != null && it.withinS != null }
-        .groupBy { it.jobClass.orEmpty() }
-        .mapValues { (_, list) -> list.minOf { it.withinS ?: 0.0 } }
+    private val withinS: Map<String, Double> = objectives.startWithinS()
     private val sizes = HashMap<String, JobSizes>()
 
     fun opened(job: Job) {
--- a/src/main/kotlin/ledgearch/http/HttpServer.kt
+++ b/src/main/kotlin/ledgearch/http/HttpServer.kt
@@ -11,7 +11,6 @@
 import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
 import java.nio.channels.AsynchronousChannelGroup
-import java.nio.channels.AsynchronousServerSocketChannel
 import java.nio.channels.AsynchronousSocketChannel
 
 /**
@@ -29,22 +28,14 @@
 
     /** Binds at once (throws when the address is taken), then accepts until cancelled. */
     fun start(address: String): Job {
-        val server = AsynchronousServerSocketChannel.open(group)
-        server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-        server.bind(parseAddress(address), Tuning.ACCEPT_BACKLOG)
+        val server = listenOn(address, group)
         return scope.launch {
             while (true) {
                 if (open >= maxConnections) {
                     delay(Tuning.TICK_MS)
                     continue
                 }
-                val channel = try {
-                    server.acceptNext()
-                } catch (e: IOException) {
-                    log.warn("accept failed: {}", e.message)
-                    delay(Tuning.TICK_MS)
-                    continue
-                }
+                val channel = server.acceptPatiently(log)
                 open++
                 scope.launch {
                     try {
--- a/src/main/kotlin/ledgearch/http/Nio.kt
+++ b/src/main/kotlin/ledgearch/http/Nio.kt
@@ -1,10 +1,15 @@
 package ledgearch.http
 
 import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.suspendCancellableCoroutine
+import ledgearch.Tuning
+import org.slf4j.Logger
 import java.io.IOException
 import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
+import java.nio.channels.AsynchronousChannelGroup
 import java.nio.channels.AsynchronousServerSocketChannel
 import java.nio.channels.AsynchronousSocketChannel
 import java.nio.channels.CompletionHandler
@@ -22,9 +27,28 @@
 private val resumeChannel = Resume<AsynchronousSocketChannel>()
 private val resumeVoid = Resume<Void?>()
 
-internal suspend fun AsynchronousServerSocketChannel.acceptNext(): AsynchronousSocketChannel =
+private suspend fun AsynchronousServerSocketChannel.acceptNext(): AsynchronousSocketChannel =
     suspendCancellableCoroutine { accept(it, resumeChannel) }
 
+/** Listens on [address] at once (throws when it is taken). */
+internal fun listenOn(address: String, group: AsynchronousChannelGroup): AsynchronousServerSocketChannel =
+    AsynchronousServerSocketChannel.open(group).apply {
+        setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        bind(parseAddress(address), Tuning.ACCEPT_BACKLOG)
+    }
+
+/** The next connection, however long it takes: a failure is logged and waited out. */
+internal suspend fun AsynchronousServerSocketChannel.acceptPatiently(log: Logger): AsynchronousSocketChannel {
+    while (true) {
+        try {
+            return acceptNext()
+        } catch (e: IOException) {
+            log.warn("accept failed: {}", e.message)
+            delay(Tuning.TICK_MS)
+        }
+    }
+}
+
 internal suspend fun AsynchronousSocketChannel.connectTo(address: InetSocketAddress) {
     suspendCancellableCoroutine<Void?> {
         it.invokeOnCancellation { closeQuietly() }
--- a/src/main/kotlin/ledgearch/mesh/MeshLinks.kt
+++ b/src/main/kotlin/ledgearch/mesh/MeshLinks.kt
@@ -8,9 +8,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import ledgearch.Tuning
-import ledgearch.http.acceptNext
+import ledgearch.http.acceptPatiently
 import ledgearch.http.closeQuietly
 import ledgearch.http.connectTo
+import ledgearch.http.listenOn
 import ledgearch.http.parseAddress
 import ledgearch.http.readSome
 import ledgearch.http.writeAll
@@ -19,10 +20,8 @@
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.net.ConnectException
-import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
 import java.nio.channels.AsynchronousChannelGroup
-import java.nio.channels.AsynchronousServerSocketChannel
 import java.nio.channels.AsynchronousSocketChannel
 
 /** What the links tell the owner. */
@@ -47,18 +46,10 @@
         private set
 
     fun listen(address: String) {
-        val server = AsynchronousServerSocketChannel.open(group)
-        server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-        server.bind(parseAddress(address), Tuning.ACCEPT_BACKLOG)
+        val server = listenOn(address, group)
         scope.launch {
             while (true) {
-                val channel = try {
-                    server.acceptNext()
-                } catch (e: IOException) {
-                    log.warn("accept failed: {}", e.message)
-                    delay(Tuning.TICK_MS)
-                    continue
-                }
+                val channel = server.acceptPatiently(log)
                 if (followers.size >= Tuning.MAX_FOLLOWERS) channel.closeQuietly() else scope.launch { feed(channel) }
             }
         }
--- a/src/main/kotlin/ledgearch/state/StateClient.kt
+++ b/src/main/kotlin/ledgearch/state/StateClient.kt
@@ -93,7 +93,6 @@
 
     val maxChanges: Int get() = limits.txnOps
     val maxConditions: Int get() = limits.txnOps * 4
-    val backlog: Int get() = lanes.getValue(Lane.ORDINARY).size
 
     fun txn(conditions: List<Condition>, changes: List<Change>, lane: Lane, done: (TxnResult) -> Unit) {
         val body = WireJson.encodeToString(Txn.serializer(), Txn(conditions, changes))
