Preemption: the least urgent first, then what misses no aim; run times learnt per job

Tasks of one job run about equally long (standard deviation 16%) though estimates are off by up to five times, so a job's own finished tasks now count before its estimate; what an earlier holder started is no longer taken as a sample. A job's tasks go on few spot machines.

--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -94,7 +94,7 @@
 
     fun jobOpened(job: Job) {
         reserve.opened(job)
-        log.debug("{} opened: {} {} tasks for {}", job.id, job.spec.portions, job.spec.menu, job.spec.crew)
+        log.debug("{} opened: {} {} tasks of {} processors for {}, estimate {} s, image {} of {} GB", job.id, job.spec.portions, job.spec.menu, job.spec.vcpus, job.spec.crew, job.spec.cookS, job.spec.recipe, job.spec.sizeGb)
         if (tenure == 0L) return
         // Accepted after the grant: no earlier holder can have learnt of it while it still held the block.
         job.trusted = job.stamp > tenure && !job.record.cancel
@@ -253,7 +253,7 @@
         val id = entry.portion.substringBefore('/')
         val index = entry.portion.substringAfter('/', "").toIntOrNull() ?: -1
         val job = book.jobs[id]?.takeIf { index in 0 until it.spec.portions && !it.placements.containsKey(index) }
-        val p = Placement(job, entry.portion, index, entry.`try`, m, now.steady)
+        val p = Placement(job, entry.portion, index, entry.`try`, m, now.steady, inherited = true)
         m.placements.put(p.attempt, p)
         if (job == null) {
             p.stop = Stop.AT_ONCE
@@ -272,7 +272,10 @@
         when (entry.status) {
             PortionStates.FETCHING -> p.status = TaskStatus.FETCHING
             PortionStates.RUNNING -> {
-                if (p.status != TaskStatus.RUNNING) p.runningSince = now.steady
+                if (p.status != TaskStatus.RUNNING) {
+                    p.runningSince = now.steady
+                    log.debug("{} try {} runs on {}", p.task, p.attempt, p.machine.name)
+                }
                 p.status = TaskStatus.RUNNING
                 if (job != null) p.machine.fetched.add(job.spec.recipe)
             }
@@ -284,6 +287,7 @@
     private fun exited(p: Placement, cause: String?) {
         p.status = TaskStatus.EXITED
         p.cause = cause
+        log.debug("{} try {} on {} exited: {}", p.task, p.attempt, p.machine.name, cause)
         val job = p.job ?: return
         val m = p.machine
         when (cause) {
@@ -295,7 +299,7 @@
                 job.errorMachines.forEach { name -> machines[name]?.let { blame(it, job) } }
                 job.errorMachines.clear()
                 if (!job.standing) {
-                    if (p.runningSince > 0 && job.spec.stirS == 0.0) estimates.ran(job, (now.steady - p.runningSince) / 1000.0)
+                    if (p.runningSince > 0 && !p.inherited && job.spec.stirS == 0.0) estimates.ran(job, (now.steady - p.runningSince) / 1000.0)
                     job.finish(p.index)
                     if (!job.closed) journal.progress(job)
                     if (job.complete) journal.close(job, WorkStates.DONE)
@@ -341,6 +345,7 @@
 
     /** [p] is provably on its machine no more, and no start of it can arrive. */
     private fun gone(p: Placement) {
+        if (!p.exited) log.debug("{} try {} is gone from {}", p.task, p.attempt, p.machine.name)
         p.machine.placements.remove(p.attempt)
         p.job?.free(p)
         dirty = true
@@ -378,8 +383,8 @@
         log.debug("{} try {} starts on {}", p.task, attempt, m.name)
     }
 
-    private fun preempt(p: Placement) {
-        log.debug("{} on {} makes room", p.task, p.machine.name)
+    private fun preempt(p: Placement, by: Job) {
+        log.debug("{} on {} makes room for {} ({})", p.task, p.machine.name, by.id, by.spec.menu)
         p.stop = if ((p.job?.spec?.stirS ?: 0.0) > 0) Stop.SAVE_FIRST else Stop.AT_ONCE
         p.machine.pushWanted = true
     }
--- a/src/main/kotlin/ledgearch/core/Job.kt
+++ b/src/main/kotlin/ledgearch/core/Job.kt
@@ -37,6 +37,9 @@
      */
     var trusted = false
 
+    /** Run times of its finished tasks, as far as the present holder saw them from start to end. */
+    val runTime = RunTime()
+
     /** Steady ms before which no task is started, after failures of the job's own. */
     var notBefore = Long.MIN_VALUE
     val errorMachines = HashSet<String>()
@@ -105,5 +108,24 @@
         notBefore = Long.MIN_VALUE
         errorMachines.clear()
         badTries = 0
+        runTime.clear()
+    }
+}
+
+/** A mean, task by task. */
+internal class RunTime {
+    var tasks = 0
+        private set
+    var mean = 0.0
+        private set
+
+    fun add(seconds: Double) {
+        tasks++
+        mean += (seconds - mean) / tasks
+    }
+
+    fun clear() {
+        tasks = 0
+        mean = 0.0
     }
 }
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -76,6 +76,9 @@
 
     fun hasRoom(job: Job): Boolean = room.fits(job)
 
+    /** How many tasks of [job] there is room for, at most [most]. */
+    fun roomFor(job: Job, most: Int): Int = room.count(job, most)
+
     /** Type, zone and kind allow tasks of [job]. */
     fun allows(job: Job): Boolean = job.allows(rack, hall, borrowed)
 
--- a/src/main/kotlin/ledgearch/core/Placement.kt
+++ b/src/main/kotlin/ledgearch/core/Placement.kt
@@ -18,6 +18,8 @@
     val attempt: Long,
     val machine: Machine,
     val decidedAt: Long,
+    /** Started by an earlier holder: when its run began is not known. */
+    val inherited: Boolean = false,
 ) {
     var status = TaskStatus.DECIDED
     var cause: String? = null
--- a/src/main/kotlin/ledgearch/core/Room.kt
+++ b/src/main/kotlin/ledgearch/core/Room.kt
@@ -21,6 +21,13 @@
         memory += sign * (spec?.memoryGb ?: rack.memoryGb)
     }
 
+    /** How many tasks of [job] fit, at most [most]. */
+    fun count(job: Job, most: Int): Int {
+        val spec = job.spec
+        fun by(free: Double, each: Double) = if (each > 0) (free + Machine.ROUNDING) / each else Double.MAX_VALUE
+        return minOf(by(cpus, spec.vcpus), by(gpus, spec.accelerators), by(memory, spec.memoryGb)).coerceIn(0.0, most.toDouble()).toInt()
+    }
+
     fun fits(job: Job): Boolean {
         val spec = job.spec
         return spec.vcpus <= cpus + Machine.ROUNDING &&
--- a/src/main/kotlin/ledgearch/core/placement/Estimates.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Estimates.kt
@@ -1,30 +1,42 @@
 package ledgearch.core.placement
 
 import ledgearch.core.Job
+import kotlin.math.exp
+import kotlin.math.ln
 
-/** Run times: the owners' estimates, corrected for each class by what was seen of it. */
+/**
+ * Run times. The tasks of one job take about equally long, however wrong its owner's estimate is, so what was seen
+ * of the job itself counts before all else; until then the estimate, corrected by what was seen of the class.
+ */
 internal class Estimates {
     private class Seen {
-        var ratio = 1.0
-        var weight = 0
+        /** Logarithm of run time over estimate: errors are factors, so their logarithms are averaged. */
+        var logRatio = 0.0
+        var weight = 0.0
     }
 
     private val seen = HashMap<String, Seen>()
 
     fun ran(job: Job, seconds: Double) {
-        if (job.spec.cookS <= 0) return
+        job.runTime.add(seconds)
+        if (job.spec.cookS <= 0 || seconds <= 0) return
+        // Every job counts the same, however many tasks it has.
+        val w = 1.0 / job.spec.portions
         val s = seen.getOrPut(job.spec.menu) { Seen() }
-        s.weight = minOf(s.weight + 1, MEMORY)
-        s.ratio += (seconds / job.spec.cookS - s.ratio) / s.weight
+        s.weight = minOf(s.weight + w, MEMORY)
+        s.logRatio += (ln(seconds / job.spec.cookS) - s.logRatio) * minOf(1.0, w / s.weight)
     }
 
-    fun seconds(job: Job): Double = job.spec.cookS * (seen[job.spec.menu]?.takeIf { it.weight >= ENOUGH }?.ratio ?: 1.0)
+    fun seconds(job: Job): Double {
+        if (job.runTime.tasks > 0) return job.runTime.mean
+        val s = seen[job.spec.menu]
+        // The weight of one job stands for the owners being right on the average.
+        val correction = if (s == null) 1.0 else exp(s.logRatio * s.weight / (s.weight + 1.0))
+        return job.spec.cookS * correction
+    }
 
     private companion object {
-        /** Tasks after which older ones fade. */
-        const val MEMORY = 200
-
-        /** Tasks seen before the owners' estimates are corrected. */
-        const val ENOUGH = 10
+        /** Jobs after which older ones fade. */
+        const val MEMORY = 20.0
     }
 }
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -97,6 +97,7 @@
         // Room on a machine that is up costs nothing more; spot first lets dear machines run empty and be returned.
         val spotFirst = !reliability.spotIsRisky(job)
         val imageFirst = ranking.hurried(job)
+        val pending = job.pendingCount
         return compareBy(
             { inHall[it.hall] ?: 0 },
             { onMachine[it] ?: 0 },
@@ -104,6 +105,8 @@
             { if (it.borrowed == spotFirst) 0 else 1 },
             { it.imageDistance(job.spec.recipe) },
             { if (it.imageDistance(job.spec.recipe) == 2) it.fetching else 0 },
+            // A job is late when any of its tasks is lost: on few spot machines it loses one less often.
+            { if (it.borrowed && !job.standing) -it.roomFor(job, pending) else 0 },
             { it.rack.vcpus - it.usedCpus },
         )
     }
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -8,6 +8,7 @@
 import ledgearch.core.Stop
 import ledgearch.core.TaskStatus
 import ledgearch.core.Teams
+import ledgearch.wire.Urgencies
 
 /**
  * Makes room for work that may not wait: for a more urgent job, or for one within its team's guarantee at the
@@ -17,7 +18,7 @@
     private val teams: Teams,
     private val ranking: Ranking,
     private val now: Now,
-    private val stop: (Placement) -> Unit,
+    private val stop: (Placement, Job) -> Unit,
 ) {
     /** Room on a machine once what is being stopped there is gone, less what this pass has promised of it. */
     private class Prospect(val machine: Machine) {
@@ -51,7 +52,7 @@
         var bestCost = Double.MAX_VALUE
         for (prospect in prospects) {
             val victims = victims(job, guaranteed, prospect) ?: continue
-            val cost = victims.sumOf { lost(it) } + prospect.machine.imageDistance(job.spec.recipe) * FETCH
+            val cost = victims.sumOf { cost(it) } + prospect.machine.imageDistance(job.spec.recipe) * FETCH
             if (cost < bestCost) {
                 bestCost = cost
                 best = prospect to victims
@@ -61,7 +62,7 @@
         for (v in victims) {
             prospect.room.give(v.job)
             v.job?.let(teams::giveUp)
-            stop(v)
+            stop(v, job)
         }
         return prospect
     }
@@ -70,7 +71,7 @@
         val room = prospect.room
         val candidates = prospect.machine.placements.values
             .filter { !it.exited && it.stop == Stop.NONE && it.job != null && mayStop(job, guaranteed, it.job) }
-            .sortedBy { lost(it) }
+            .sortedBy { cost(it) }
         val chosen = ArrayList<Placement>()
         for (c in candidates) {
             // The team of an earlier choice may have nothing more to spare.
@@ -88,10 +89,14 @@
         victim.urgency > job.urgency ||
             (guaranteed && victim.urgency == job.urgency && victim.spec.crew != job.spec.crew && !victim.standing && teams.canSpare(victim))
 
-    /** Processor seconds thrown away; least for a job that is too late for its aims anyway. */
-    private fun lost(p: Placement): Double {
-        val late = p.job?.let { ranking.lateness(it) > 0 } ?: true
-        return spent(p) * if (late) LATE_WORTH else 1.0
+    /**
+     * What stopping [p] costs, in processor seconds: what it has done, and the aims that its job misses by starting it
+     * again. Work that is as urgent as what it makes room for goes last, however little it has done.
+     */
+    private fun cost(p: Placement): Double {
+        val job = p.job ?: return 0.0
+        val missed = if (job.pendingCount > 0 || p.status != TaskStatus.RUNNING) 0 else ranking.missedByRestart(job, (now.steady - p.runningSince) / 1000.0)
+        return spent(p) + missed * AIM + (Urgencies.ORDER.size - 1 - job.urgency) * URGENCY
     }
 
     private fun spent(p: Placement): Double {
@@ -106,7 +111,10 @@
         /** Processor seconds. What an image that is already there, or half there, is worth. */
         const val FETCH = 20.0
 
-        /** Share of its worth that work of a job keeps when the job is late. */
-        const val LATE_WORTH = 0.5
+        /** Processor seconds. What an aim missed is worth: about the work of a job. */
+        const val AIM = 500.0
+
+        /** Processor seconds. More than any task's work, so that the least urgent is always stopped first. */
+        const val URGENCY = 1e6
     }
 }
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -35,10 +35,18 @@
         .map { it.job }
 
     /** How many of its aims the job can't meet any more even if it started now. */
-    fun lateness(job: Job): Int {
+    fun lateness(job: Job): Int = if (job.standing) 0 else missed(job, age(job) + estimates.seconds(job))
+
+    /** How many more aims [job] misses when a task that has run for [ranS] starts again. */
+    fun missedByRestart(job: Job, ranS: Double): Int {
         if (job.standing) return 0
-        val age = (now.wall - job.record.at) / 1000.0
-        val end = age + estimates.seconds(job)
+        val end = age(job) + estimates.seconds(job)
+        return missed(job, end) - missed(job, end - ranS)
+    }
+
+    private fun age(job: Job) = (now.wall - job.record.at) / 1000.0
+
+    private fun missed(job: Job, end: Double): Int {
         var missed = 0
         finishWithin[job.spec.menu]?.forEach { if (end > it) missed++ }
         job.spec.serveS?.let { due -> (deadlineTimes[job.spec.menu] ?: listOf(1.0)).forEach { if (end > due * it) missed++ } }
@@ -47,7 +55,7 @@
 
     /** Processor seconds still to be done, less a credit for each second waited. */
     private fun cost(job: Job): Double {
-        val age = (now.wall - job.record.at) / 1000.0
+        val age = age(job)
         if (job.standing) return -age
         val work = job.pendingCount * job.spec.vcpus * estimates.seconds(job)
         return work - age * job.spec.vcpus * job.spec.portions * AGE_CREDIT
