--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -465,7 +465,7 @@
         if (dirty) {
             dirty = false
             machines.values.forEach { it.count() }
-            teams.recount(machines.values)
+            teams.recount(machines.values, book.jobs.values)
             placer.pass(book.jobs.values)
         }
         for (m in machines.values) if (m.pushWanted && !m.pushing && !m.pushBroken && m.durable && m.confirmed && !m.releaseSent) push(m)
--- a/src/main/kotlin/ledgearch/core/Job.kt
+++ b/src/main/kotlin/ledgearch/core/Job.kt
@@ -40,6 +40,9 @@
     /** Run times of its finished tasks, as far as the present holder saw them from start to end. */
     val runTime = RunTime()
 
+    /** Fits into its team's guarantee along with the team's earlier jobs. */
+    var guaranteed = false
+
     /** Steady ms before which no task is started, after failures of the job's own. */
     var notBefore = Long.MIN_VALUE
     val errorMachines = HashSet<String>()
--- a/src/main/kotlin/ledgearch/core/Teams.kt
+++ b/src/main/kotlin/ledgearch/core/Teams.kt
@@ -19,7 +19,24 @@
     private var unknownCpus = 0.0
     private var unknownGpus = 0.0
 
-    fun recount(machines: Collection<Machine>) {
+    fun recount(machines: Collection<Machine>, jobs: Collection<Job>) {
+        countUse(machines)
+        countGuarantees(jobs)
+    }
+
+    /** A job is within its team's guarantee if it fits into it along with the team's earlier unfinished jobs. */
+    private fun countGuarantees(jobs: Collection<Job>) {
+        val promised = HashMap<String, DoubleArray>()
+        for (job in jobs.sortedBy { it.record.at }) {
+            val team = uses[job.spec.crew]?.team ?: continue
+            val sums = promised.getOrPut(job.spec.crew) { DoubleArray(2) }
+            sums[0] += job.spec.vcpus * job.spec.portions
+            sums[1] += job.spec.accelerators * job.spec.portions
+            job.guaranteed = sums[0] <= team.cpus + Machine.ROUNDING && sums[1] <= team.gpus + Machine.ROUNDING
+        }
+    }
+
+    private fun countUse(machines: Collection<Machine>) {
         for (use in uses.values) {
             use.cpus = 0.0
             use.gpus = 0.0
@@ -68,10 +85,11 @@
             use.gpus + unknownGpus + job.spec.accelerators <= use.team.gpusMax + Machine.ROUNDING
     }
 
-    /** [more] more tasks of [job] stay within its team's guarantee. */
-    fun guaranteed(job: Job, more: Int = 1): Boolean {
+    /** [job] is within its team's guarantee, and the team may have [more] more of its tasks out of it. */
+    fun mayClaim(job: Job, more: Int): Boolean {
         val use = uses[job.spec.crew] ?: return false
-        return use.keptCpus + more * job.spec.vcpus <= use.team.cpus + Machine.ROUNDING &&
+        return job.guaranteed &&
+            use.keptCpus + more * job.spec.vcpus <= use.team.cpus + Machine.ROUNDING &&
             use.keptGpus + more * job.spec.accelerators <= use.team.gpus + Machine.ROUNDING
     }
 
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -43,7 +43,7 @@
         for (job in open) if (!job.standing && ranking.hurried(job)) hurriedImages.add(job.spec.recipe)
         val waiting = ArrayList<Job>()
         for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
-            val ordered = ranking.order(sameUrgency, teams)
+            val ordered = ranking.order(sameUrgency)
             for (job in ordered) {
                 while (startOne(job, usable)) Unit
                 if (job.pendingCount > 0) waiting.add(job)
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -37,7 +37,7 @@
             var left = minOf(job.pendingCount, teams.roomFor(job))
             while (left > 0) {
                 val cpus = promised[job.spec.crew] ?: 0.0
-                val guaranteed = teams.guaranteed(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
+                val guaranteed = teams.mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
                 val found = fitting.filter { it.room.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) }
                 val prospect = found ?: makeRoom(job, guaranteed, fitting) ?: break
                 prospect.room.take(job)
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -4,7 +4,6 @@
 import ledgearch.config.startWithinS
 import ledgearch.core.Job
 import ledgearch.core.Now
-import ledgearch.core.Teams
 
 /**
  * The order in which jobs are served. The paper's queues are first-come with equal tasks; here tasks differ, so
@@ -26,12 +25,12 @@
     /** The job's class is to start sooner than an image can be fetched. */
     fun hurried(job: Job): Boolean = (startWithin[job.spec.menu] ?: Double.MAX_VALUE) < job.spec.sizeGb * FETCH_S_PER_GB
 
-    private class Rank(val job: Job, val guaranteed: Boolean, val lateness: Int, val cost: Double)
+    private class Rank(val job: Job, val lateness: Int, val cost: Double)
 
     /** Jobs of one urgency, first to be served first. */
-    fun order(jobs: List<Job>, teams: Teams): List<Job> = jobs
-        .map { Rank(it, teams.guaranteed(it), lateness(it), cost(it)) }
-        .sortedWith(compareBy({ !it.guaranteed }, { it.lateness }, { it.cost }, { it.job.id }))
+    fun order(jobs: List<Job>): List<Job> = jobs
+        .map { Rank(it, lateness(it), cost(it)) }
+        .sortedWith(compareBy({ !it.job.guaranteed }, { it.lateness }, { it.cost }, { it.job.id }))
         .map { it.job }
 
     /** How many of its aims the job can't meet any more even if it started now. */
