--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -45,12 +45,17 @@
         for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
             val ordered = ranking.order(sameUrgency)
             for (job in ordered) {
-                while (startOne(job, usable)) Unit
+                val places = if (ranking.hurried(job)) usable.filter { it.imageDistance(job.spec.recipe) == 0 } else usable
+                while (startOne(job, places)) Unit
                 if (job.pendingCount > 0) waiting.add(job)
             }
         }
         if (waiting.isEmpty()) return
-        preemption.pass(waiting, usable, ::zoneAllowed)
+        val held = preemption.pass(waiting, usable, ::zoneAllowed)
+        for (job in waiting) {
+            // What gets no room at once where its image is starts anywhere: the image is there for the next.
+            if (ranking.hurried(job)) while (job.pendingCount > (held[job] ?: 0) && startOne(job, usable)) Unit
+        }
         val lists = PreferredLists(usable)
         for (job in waiting) bindRest(job, usable, lists)
     }
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -27,8 +27,12 @@
         }
     }
 
-    /** [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them. */
-    fun pass(waiting: List<Job>, usable: List<Machine>, zoneAllowed: (Job, String) -> Boolean) {
+    /**
+     * [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them. Returns for each
+     * hurried job how many of its tasks have room, or get it at once, on machines that have its image.
+     */
+    fun pass(waiting: List<Job>, usable: List<Machine>, zoneAllowed: (Job, String) -> Boolean): Map<Job, Int> {
+        val held = HashMap<Job, Int>()
         val prospects = usable.map { Prospect(it) }
         // Tasks of each team that this pass has found or made room for, in processors.
         val promised = HashMap<String, Double>()
@@ -38,15 +42,20 @@
             while (left > 0) {
                 val cpus = promised[job.spec.crew] ?: 0.0
                 val guaranteed = teams.mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
-                val found = fitting.filter { it.room.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) }
-                val prospect = found ?: makeRoom(job, guaranteed, fitting) ?: break
+                val atOnce = if (ranking.hurried(job)) roomFor(job, guaranteed, fitting.filter { it.machine.imageDistance(job.spec.recipe) == 0 }) else null
+                if (atOnce != null) held.merge(job, 1, Int::plus)
+                val prospect = atOnce ?: roomFor(job, guaranteed, fitting) ?: break
                 prospect.room.take(job)
                 promised[job.spec.crew] = cpus + job.spec.vcpus
                 left--
             }
         }
+        return held
     }
 
+    private fun roomFor(job: Job, guaranteed: Boolean, prospects: List<Prospect>): Prospect? =
+        prospects.filter { it.room.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) } ?: makeRoom(job, guaranteed, prospects)
+
     private fun makeRoom(job: Job, guaranteed: Boolean, prospects: List<Prospect>): Prospect? {
         var best: Pair<Prospect, List<Placement>>? = null
         var bestCost = Double.MAX_VALUE
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -22,8 +22,11 @@
 
     private val startWithin: Map<String, Double> = objectives.startWithinS()
 
-    /** The job's class is to start sooner than an image can be fetched. */
-    fun hurried(job: Job): Boolean = (startWithin[job.spec.menu] ?: Double.MAX_VALUE) < job.spec.sizeGb * FETCH_S_PER_GB
+    /** The job's class is to start sooner than an image can be fetched, and it is not too late for that. */
+    fun hurried(job: Job): Boolean {
+        val within = startWithin[job.spec.menu] ?: return false
+        return within < job.spec.sizeGb * FETCH_S_PER_GB && age(job) < within
+    }
 
     private class Rank(val job: Job, val lateness: Int, val cost: Double)
 
