--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -42,7 +42,7 @@
             while (left > 0) {
                 val cpus = promised[job.spec.crew] ?: 0.0
                 val guaranteed = teams.mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
-                val atOnce = if (ranking.hurried(job)) roomFor(job, guaranteed, fitting.filter { it.machine.imageDistance(job.spec.recipe) == 0 }) else null
+                val atOnce = if (ranking.hurried(job)) roomFor(job, guaranteed, fitting.filter { it.machine.imageDistance(job.spec.recipe) == 0 }, sparing = true) else null
                 if (atOnce != null) held.merge(job, 1, Int::plus)
                 val prospect = atOnce ?: roomFor(job, guaranteed, fitting) ?: break
                 prospect.room.take(job)
@@ -53,14 +53,15 @@
         return held
     }
 
-    private fun roomFor(job: Job, guaranteed: Boolean, prospects: List<Prospect>): Prospect? =
-        prospects.filter { it.room.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) } ?: makeRoom(job, guaranteed, prospects)
+    /** [sparing]: no task is stopped whose job would miss an aim by that. */
+    private fun roomFor(job: Job, guaranteed: Boolean, prospects: List<Prospect>, sparing: Boolean = false): Prospect? =
+        prospects.filter { it.room.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) } ?: makeRoom(job, guaranteed, prospects, sparing)
 
-    private fun makeRoom(job: Job, guaranteed: Boolean, prospects: List<Prospect>): Prospect? {
+    private fun makeRoom(job: Job, guaranteed: Boolean, prospects: List<Prospect>, sparing: Boolean): Prospect? {
         var best: Pair<Prospect, List<Placement>>? = null
         var bestCost = Double.MAX_VALUE
         for (prospect in prospects) {
-            val victims = victims(job, guaranteed, prospect) ?: continue
+            val victims = victims(job, guaranteed, prospect, sparing) ?: continue
             val cost = victims.sumOf { cost(it) } + prospect.machine.imageDistance(job.spec.recipe) * FETCH
             if (cost < bestCost) {
                 bestCost = cost
@@ -76,10 +77,10 @@
         return prospect
     }
 
-    private fun victims(job: Job, guaranteed: Boolean, prospect: Prospect): List<Placement>? {
+    private fun victims(job: Job, guaranteed: Boolean, prospect: Prospect, sparing: Boolean): List<Placement>? {
         val room = prospect.room
         val candidates = prospect.machine.placements.values
-            .filter { !it.exited && it.stop == Stop.NONE && it.job != null && mayStop(job, guaranteed, it.job) }
+            .filter { !it.exited && it.stop == Stop.NONE && it.job != null && mayStop(job, guaranteed, it.job) && !(sparing && missed(it) > 0) }
             .sortedBy { cost(it) }
         val chosen = ArrayList<Placement>()
         for (c in candidates) {
@@ -104,8 +105,14 @@
      */
     private fun cost(p: Placement): Double {
         val job = p.job ?: return 0.0
-        val missed = if (job.pendingCount > 0 || p.status != TaskStatus.RUNNING) 0 else ranking.missedByRestart(job, (now.steady - p.runningSince) / 1000.0)
-        return spent(p) + missed * AIM + (Urgencies.ORDER.size - 1 - job.urgency) * URGENCY
+        return spent(p) + missed(p) * AIM + (Urgencies.ORDER.size - 1 - job.urgency) * URGENCY
+    }
+
+    /** Aims that the job of [p] meets only if [p] goes on; none if other tasks of it wait to be started anyway. */
+    private fun missed(p: Placement): Int {
+        val job = p.job ?: return 0
+        if (job.pendingCount > 0 || p.status != TaskStatus.RUNNING) return 0
+        return ranking.missedByRestart(job, (now.steady - p.runningSince) / 1000.0)
     }
 
     private fun spent(p: Placement): Double {
