--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -156,6 +156,12 @@
     /** Probes in a row without an answer after which an inherited machine is released. */
     const val PROBES = 2
 
+    /** Reports. The longest that a worker takes for one, as the protocol has it. */
+    const val DUE_REPORTS = 1.25
+
+    /** Reports. A machine silent for this many is probed: its report is late even if a packet was sent again. */
+    const val OVERDUE_REPORTS = 1.4
+
     /** Reports. A machine silent for this many is given up and released. */
     const val LOST_REPORTS = 3.5
 
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -212,6 +212,7 @@
         if (report.ticket <= m.ticket) return
         m.ticket = report.ticket
         m.heardAt = now.steady
+        m.probesFailed = 0
         m.recallAt = if (report.recallS == null) 0 else now.steady + (report.recallS * 1000).toLong()
         if (report.baton > m.baton) {
             m.baton = report.baton
@@ -223,9 +224,22 @@
             m.answeredAt = now.steady
         }
         listTasks(m, report.portions)
+        if (m.recallAt != 0L) leave(m)
         dirty = true
     }
 
+    /** The cloud takes [m] soon: replicas move, and what can save its work does; all else may be done by then. */
+    private fun leave(m: Machine) {
+        val left = (m.recallAt - now.steady) / 1000.0
+        for (p in m.placements.values) {
+            val job = p.job
+            if (job == null || p.exited || p.stop != Stop.NONE || !(job.standing || job.spec.stirS > 0)) continue
+            p.stop = if (job.spec.stirS > 0 && job.spec.plateS < left) Stop.SAVE_FIRST else Stop.AT_ONCE
+            m.pushWanted = true
+            log.debug("{} leaves {}, which is taken in {} s", p.task, m.name, left)
+        }
+    }
+
     private fun newSession(m: Machine, shift: Long) {
         if (m.shift != 0L && m.placements.isNotEmpty()) log.info("machine {}: new session, {} tasks lost", m.name, m.placements.size)
         m.placements.values.toList().forEach(::gone)
@@ -441,8 +455,11 @@
                 m.probesFailed++
                 return@call
             }
-            m.probesFailed = 0
             hear(m, report, isReport = false)
+            if (m.confirmed) {
+                m.pushing = false
+                return@call
+            }
             direct(m, emptyList()) { reply ->
                 if (tenure != mine) return@direct
                 m.pushing = false
@@ -525,7 +542,9 @@
             return
         }
         for (m in machines.values.toList()) {
-            if (!silentFor(m, Tuning.LOST_REPORTS)) continue
+            if (!silentFor(m, Tuning.OVERDUE_REPORTS)) continue
+            if (m.confirmed && !m.releasing) probe(m)
+            if (!silentFor(m, Tuning.LOST_REPORTS) && !surelyLost(m, active)) continue
             if (!m.releasing) {
                 reliability.lost(m)
                 log.warn("machine {} is silent for {} ms; it is released", m.name, now.steady - m.heardAt)
@@ -535,6 +554,17 @@
         }
     }
 
+    /**
+     * [m] is overdue and answers no probe, while most others, and one of its zone, were heard since it was due: so it
+     * is neither this node nor a zone that is cut off, and nothing is gained by waiting for more reports.
+     */
+    private fun surelyLost(m: Machine, active: List<Machine>): Boolean {
+        if (m.releasing || !m.confirmed || m.probesFailed < Tuning.PROBES) return false
+        val due = m.heardAt + (reportMs * Tuning.DUE_REPORTS).toLong()
+        val heard = active.filter { it !== m && it.heardAt > due }
+        return heard.size * 2 > active.size && heard.any { it.hall == m.hall }
+    }
+
     /**
      * Without a word from the cloud: a worker that confirmed this tenure's token has had no valid answer since
      * [Machine.answeredAt] if the grant was still this node's after the lease ended.
