--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -47,19 +47,26 @@
             for (job in ordered) {
                 val places = if (ranking.hurried(job)) usable.filter { it.imageDistance(job.spec.recipe) == 0 } else usable
                 while (startOne(job, places)) Unit
-                if (job.pendingCount > 0) waiting.add(job)
             }
+            startHurried(ordered.filter { it.pendingCount > 0 && ranking.hurried(it) }, usable)
+            ordered.filterTo(waiting) { it.pendingCount > 0 }
         }
         if (waiting.isEmpty()) return
-        val held = preemption.pass(waiting, usable, ::zoneAllowed)
-        for (job in waiting) {
-            // What gets no room at once where its image is starts anywhere: the image is there for the next.
-            if (ranking.hurried(job)) while (job.pendingCount > (held[job] ?: 0) && startOne(job, usable)) Unit
-        }
+        preemption.pass(waiting, usable, ::zoneAllowed)
         val lists = PreferredLists(usable)
         for (job in waiting) bindRest(job, usable, lists)
     }
 
+    /**
+     * Hurried tasks for which room can't be made at once where their image is start anywhere, and before less urgent
+     * work takes that room: the image is there for the next.
+     */
+    private fun startHurried(jobs: List<Job>, usable: List<Machine>) {
+        if (jobs.isEmpty()) return
+        val placed = preemption.besideImages(jobs, usable, ::zoneAllowed)
+        for (job in jobs) while (job.pendingCount > (placed[job] ?: 0) && startOne(job, usable)) Unit
+    }
+
     private fun usable(m: Machine) =
         m.durable && m.confirmed && !m.draining && !m.retiring && !m.releasing && !m.pushBroken && m.recallAt == 0L && now.steady >= m.refusedUntil
 
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -27,14 +27,32 @@
         }
     }
 
+    /** [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them. */
+    fun pass(waiting: List<Job>, usable: List<Machine>, zoneAllowed: (Job, String) -> Boolean) {
+        val prospects = usable.map { Prospect(it) }
+        claim(waiting, zoneAllowed, prospects) { job, guaranteed, fitting -> roomFor(job, guaranteed, fitting) }
+    }
+
     /**
-     * [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them. Returns for each
-     * hurried job how many of its tasks have room, or get it at once, on machines that have its image.
+     * Room for [hurried] jobs on machines that have their image, at the cost of no other job's aims. Returns for each
+     * job how many of its tasks get it at once.
      */
-    fun pass(waiting: List<Job>, usable: List<Machine>, zoneAllowed: (Job, String) -> Boolean): Map<Job, Int> {
-        val held = HashMap<Job, Int>()
-        val prospects = usable.map { Prospect(it) }
-        // Tasks of each team that this pass has found or made room for, in processors.
+    fun besideImages(hurried: List<Job>, usable: List<Machine>, zoneAllowed: (Job, String) -> Boolean): Map<Job, Int> {
+        val prospects = usable.filter { m -> hurried.any { m.imageDistance(it.spec.recipe) == 0 } }.map { Prospect(it) }
+        return claim(hurried, zoneAllowed, prospects) { job, guaranteed, fitting ->
+            roomFor(job, guaranteed, fitting.filter { it.machine.imageDistance(job.spec.recipe) == 0 }, sparing = true)
+        }
+    }
+
+    /** Lets each job in turn find or make room for its tasks; returns how many of them each has got it for. */
+    private fun claim(
+        waiting: List<Job>,
+        zoneAllowed: (Job, String) -> Boolean,
+        prospects: List<Prospect>,
+        place: (Job, Boolean, List<Prospect>) -> Prospect?,
+    ): Map<Job, Int> {
+        val placed = HashMap<Job, Int>()
+        // Tasks of each team that have got room here, in processors.
         val promised = HashMap<String, Double>()
         for (job in waiting) {
             val fitting = prospects.filter { it.machine.allows(job) && zoneAllowed(job, it.machine.hall) }
@@ -42,15 +60,14 @@
             while (left > 0) {
                 val cpus = promised[job.spec.crew] ?: 0.0
                 val guaranteed = teams.mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
-                val atOnce = if (ranking.hurried(job)) roomFor(job, guaranteed, fitting.filter { it.machine.imageDistance(job.spec.recipe) == 0 }, sparing = true) else null
-                if (atOnce != null) held.merge(job, 1, Int::plus)
-                val prospect = atOnce ?: roomFor(job, guaranteed, fitting) ?: break
+                val prospect = place(job, guaranteed, fitting) ?: break
                 prospect.room.take(job)
+                placed.merge(job, 1, Int::plus)
                 promised[job.spec.crew] = cpus + job.spec.vcpus
                 left--
             }
         }
-        return held
+        return placed
     }
 
     /** [sparing]: no task is stopped whose job would miss an aim by that. */
@@ -95,9 +112,10 @@
         return if (enough) chosen else null
     }
 
+    /** What is stopped must come after [job] in serving order: else it would be started again and stopped again for ever. */
     private fun mayStop(job: Job, guaranteed: Boolean, victim: Job): Boolean =
         victim.urgency > job.urgency ||
-            (guaranteed && victim.urgency == job.urgency && victim.spec.crew != job.spec.crew && !victim.standing && teams.canSpare(victim))
+            (guaranteed && victim.urgency == job.urgency && !victim.guaranteed && victim.spec.crew != job.spec.crew && !victim.standing && teams.canSpare(victim))
 
     /**
      * What stopping [p] costs, in processor seconds: what it has done, and the aims that its job misses by starting it
--- a/src/test/kotlin/ledgearch/world/Rules.kt
+++ b/src/test/kotlin/ledgearch/world/Rules.kt
@@ -15,6 +15,10 @@
 
     fun startsOf(job: String) = starts[job] ?: 0
 
+    /** The highest attempt number that a worker was sent; its low bits count the holder's decisions. */
+    var lastAttempt = 0L
+        private set
+
     fun isAccepted(job: String) = job in accepted
 
     fun completedOf(job: String) = completed.count { it.substringBefore('/') == job }
@@ -32,6 +36,7 @@
     private fun spec(portion: String) = submitted[portion.substringBefore('/')]
 
     fun commanded(worker: WorkerStandIn, task: WorkerStandIn.Task) {
+        lastAttempt = maxOf(lastAttempt, task.attempt)
         for (other in world.workers.values) {
             if (other !== worker && other.alive && other.tasks.values.any { it.portion == task.portion && it.status != "exited" }) {
                 broken("ran_twice", "${task.portion} sent to ${worker.name} while on ${other.name}")
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -88,6 +88,7 @@
         when (w[1]) {
             "running" -> world.running(w[2]).let { check("running ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "starts" -> world.rules.startsOf(w[2]).let { check("starts ${w[2]} at most ${w[3]}", it, it <= w[3].toInt()) }
+            "decisions" -> (world.rules.lastAttempt and 0xFFFFF).let { check("decisions at most ${w[2]}", it, it <= w[2].toInt()) }
             "finished" -> world.rules.completedOf(w[2]).let { check("finished ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "accepted" -> check("accepted ${w[2]}", false, world.rules.isAccepted(w[2]))
             "machines" -> world.cloud.names.size.let { check("machines ${w[2]}", it, it == w[2].toInt()) }
@@ -128,7 +129,7 @@
             apart = o["apart"] == "yes",
             borrowed = o["spot"] == "yes",
             recipe = o["image"] ?: "i",
-            sizeGb = 0.3,
+            sizeGb = o["gb"]?.toDouble() ?: 0.3,
             cookS = o["run"]?.toDouble() ?: 10.0,
         )
     }
