--- a/src/main/kotlin/ledgearch/intake/Intake.kt
+++ b/src/main/kotlin/ledgearch/intake/Intake.kt
@@ -186,8 +186,13 @@
                         s.respond.forEach { r -> resolve(id, r) { r(busy()) } }
                     }
                 }
+                // Not taken: the users are told at once, and when to come back.
+                TxnResult.Refused, TxnResult.NoLease -> for (s in batch) {
+                    submissions.remove(s.record.spec.ref, s)
+                    s.respond.forEach { it(busy()) }
+                }
                 // A repeat is harmless: if the first was executed, the condition fails and the job is found.
-                else -> submitRetryAt = now.steady + Tuning.STATE_RETRY_MS
+                TxnResult.Unknown -> submitRetryAt = now.steady + Tuning.STATE_RETRY_MS
             }
         }
     }
@@ -215,7 +220,8 @@
                         polls.addFirst(p)
                     }
                 }
-                else -> {
+                TxnResult.Refused, TxnResult.NoLease -> batch.forEach { it.respond(busy()) }
+                TxnResult.Unknown -> {
                     confirmRetryAt = now.steady + Tuning.STATE_RETRY_MS
                     batch.asReversed().forEach { polls.addFirst(it) }
                 }
@@ -270,9 +276,10 @@
         if (now.steady < (marking[job.id] ?: Long.MIN_VALUE)) return
         marking[job.id] = now.steady + Tuning.STATE_MS
         val value = WireJson.encodeToJsonElement(JobRecord.serializer(), job.record.copy(cancel = true))
-        state.txn(listOf(Condition(Keys.job(job.id), job.stamp)), listOf(Change(put = Keys.job(job.id), v = value)), Lane.ORDINARY) {
-            // Once written, the watch brings the mark; if it was refused, it is tried again soon.
+        state.txn(listOf(Condition(Keys.job(job.id), job.stamp)), listOf(Change(put = Keys.job(job.id), v = value)), Lane.ORDINARY) { result ->
+            // Once written, the watch brings the mark; if it was refused, it is tried again when a user asks again.
             marking[job.id] = now.steady + Tuning.STATE_RETRY_MS
+            if (result == TxnResult.Refused) withdrawals.remove(job.id)?.forEach { it.respond(busy()) }
         }
     }
 
--- a/src/main/kotlin/ledgearch/state/StateClient.kt
+++ b/src/main/kotlin/ledgearch/state/StateClient.kt
@@ -23,7 +23,7 @@
 
     data class Conflict(val failed: List<String>) : TxnResult
 
-    /** Surely not executed. */
+    /** Surely not executed, and nothing to be gained by asking again at once: an outage, or no budget left. */
     data object Refused : TxnResult
 
     /** The lease of a put is gone. */
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -97,6 +97,12 @@
             "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "up" -> world.ask("GET", "/up", null, w[2]) { check("up ${w[2]} ${w[3]}", it.status, it.status == w[3].toInt()) }
             "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
+            "at-once" -> world.clock.now.let { asked ->
+                world.ask(w[2], w[3], w.getOrNull(5), null) {
+                    check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt())
+                    (world.clock.now - asked).let { took -> check("answered at once", "$took ms", took <= AT_ONCE_MS) }
+                }
+            }
             else -> expectState(world, w[1], w[2], TRIES) { actual -> check("${w[1]} ${w[2]}", actual, false) }
         }
     }
@@ -136,5 +142,6 @@
 
     private companion object {
         const val TRIES = 4
+        const val AT_ONCE_MS = 300L
     }
 }
