--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -237,6 +237,9 @@
     /** ms. Nothing has waited for this long before machines are retired. */
     const val CALM_MS = 6_000L
 
+    /** ms. A replica is not moved before it has run this long: a start that is soon undone counts for nothing. */
+    const val SETTLED_MS = 60_000L
+
     /** ms. Between two retirements: each shows in the load before the next. */
     const val RETIRE_MS = 3_000L
 
@@ -252,6 +255,12 @@
     /** Share counted on of what running tasks should free: their ends are uncertain. */
     const val CHURN_COUNTED = 0.4
 
+    /** ms. How slowly arrivals of jobs fade: a few boot times, some jobs of every class that matters. */
+    const val ARRIVALS_MS = 60_000L
+
+    /** Standard deviations of what a boot time brings that are kept free beyond what is expected. */
+    const val RESERVE_DEVIATIONS = 0.5
+
     /** ms. Between two plannings of the fleet. */
     const val PLAN_MS = 500L
 }
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -49,7 +49,7 @@
     val machines = LinkedHashMap<String, Machine>()
     val teams = Teams(settings.deployment.teams)
     private val estimates = Estimates()
-    val reserve = Reserve(settings.deployment.objectives, estimates)
+    val reserve = Reserve(settings.deployment.objectives, settings.deployment.teams, estimates, now)
     private val reliability = Reliability(estimates)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
     private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, ::start)
@@ -403,6 +403,32 @@
         p.machine.pushWanted = true
     }
 
+    /**
+     * The replicas on [m] have settled, and others of [machines] have room for them in the same zone and their images:
+     * moved there, each is away for no longer than a start takes.
+     */
+    fun canMoveReplicas(m: Machine, machines: List<Machine>): Boolean {
+        val replicas = m.placements.values.filter { it.job?.standing == true && !it.exited }
+        if (replicas.isEmpty()) return true
+        val rooms = machines.filter { it !== m && it.hall == m.hall && placer.usable(it) }.associateWith { it.roomLeft() }
+        return replicas.all { p ->
+            val job = p.job ?: return false
+            val settled = p.status == TaskStatus.RUNNING && now.steady - p.runningSince > Tuning.SETTLED_MS && p.stop == Stop.NONE
+            val target = rooms.entries.firstOrNull { (to, room) -> settled && to.allows(job) && to.imageDistance(job.spec.recipe) == 0 && room.fits(job) }
+            target?.value?.take(job)
+            target != null
+        }
+    }
+
+    fun moveReplicas(m: Machine) {
+        for (p in m.placements.values) {
+            if (p.exited || p.stop != Stop.NONE || p.job?.standing != true) continue
+            p.stop = if (p.job.spec.stirS > 0) Stop.SAVE_FIRST else Stop.AT_ONCE
+            m.pushWanted = true
+            log.debug("{} moves off {}", p.task, m.name)
+        }
+    }
+
     private fun stopAll(job: Job) {
         for (p in job.placements.values) {
             if (p.stop == Stop.AT_ONCE) continue
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -76,6 +76,9 @@
 
     fun hasRoom(job: Job): Boolean = room.fits(job)
 
+    /** A copy of what is free. */
+    fun roomLeft() = room.copy()
+
     /** How many tasks of [job] there is room for, at most [most]. */
     fun roomFor(job: Job, most: Int): Int = room.count(job, most)
 
--- a/src/main/kotlin/ledgearch/core/Room.kt
+++ b/src/main/kotlin/ledgearch/core/Room.kt
@@ -9,6 +9,12 @@
     private var gpus = rack.accelerators
     private var memory = rack.memoryGb
 
+    fun copy() = Room(rack).also {
+        it.cpus = cpus
+        it.gpus = gpus
+        it.memory = memory
+    }
+
     fun take(job: Job?) = add(job, -1)
 
     fun give(job: Job?) = add(job, 1)
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -67,7 +67,7 @@
         for (job in jobs) while (job.pendingCount > (placed[job] ?: 0) && startOne(job, usable)) Unit
     }
 
-    private fun usable(m: Machine) =
+    fun usable(m: Machine) =
         m.durable && m.confirmed && !m.draining && !m.retiring && !m.releasing && !m.pushBroken && m.recallAt == 0L && now.steady >= m.refusedUntil
 
     private fun startOne(job: Job, usable: List<Machine>): Boolean {
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -210,7 +210,7 @@
             var left = need.unmetBy(coming)
             val spec = need.job.spec
             if (!need.job.standing && spec.vcpus > 0) {
-                val startup = book().racks.values.minOfOrNull { it.startupS } ?: 0.0
+                val startup = bootS()
                 // Where only dear machines are left to rent, all that frees before one could be up is counted on.
                 val dear = isDear(need.job, cheapest(need.job, holder, planned))
                 val within = if (dear) startup else holder.reserve.startWithinS(need.job, startup)
@@ -302,23 +302,32 @@
         }
     }
 
-    /** One machine at a time is emptied for good, the dearest first, while what is left holds the load and the reserve. */
+    /** Machines are emptied for good, the dearest first, as long as what is left holds the load and the reserve. */
     private fun retire(holder: Holder, churn: Double) {
         if (now.steady - retiredAt < Tuning.RETIRE_MS) return
+        retiredAt = now.steady
+        while (retireOne(holder, churn)) Unit
+    }
+
+    private fun retireOne(holder: Holder, churn: Double): Boolean {
         val active = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining && !it.retiring }
         val capacity = active.sumOf { it.rack.vcpus }
         val used = recentPeak
-        val reserve = holder.reserve.cpus(churn)
+        val reserve = holder.reserve.cpus(churn, bootS())
         val m = active
-            .filter { c -> c.placements.values.none { it.job?.standing == true } && now.steady - c.knownSince > Tuning.KEEP_MS }
+            .filter { c -> now.steady - c.knownSince > Tuning.KEEP_MS && holder.canMoveReplicas(c, active) }
             .filter { capacity - it.rack.vcpus >= used + reserve }
             .filter { c -> c.borrowed || active.any { it !== c && !it.borrowed && it.hall == c.hall } }
-            .maxWithOrNull(compareBy({ price(it.rack, it.borrowed) }, { -it.usedCpus })) ?: return
-        retiredAt = now.steady
+            .maxWithOrNull(compareBy({ price(it.rack, it.borrowed) }, { -it.usedCpus })) ?: return false
         m.retiring = true
+        holder.moveReplicas(m)
         log.info("machine {} is not needed: {} of {} processors used, {} to spare", m.name, used.toInt(), capacity.toInt(), reserve.toInt())
+        return true
     }
 
+    /** Seconds until a machine of the quickest type is up. */
+    private fun bootS() = book().racks.values.minOfOrNull { it.startupS } ?: 0.0
+
     private fun call(method: String, target: String, body: String?, done: (Reply) -> Unit) {
         bucket.take(1)
         transport.call(address, method, target, body, Tuning.CLOUD_MS, done)
--- a/src/main/kotlin/ledgearch/fleet/Reserve.kt
+++ b/src/main/kotlin/ledgearch/fleet/Reserve.kt
@@ -2,35 +2,57 @@
 
 import ledgearch.Tuning
 import ledgearch.config.Objective
+import ledgearch.config.Team
 import ledgearch.config.startWithinS
 import ledgearch.core.Job
 import ledgearch.core.Machine
+import ledgearch.core.Now
 import ledgearch.core.TaskStatus
 import ledgearch.core.placement.Estimates
+import kotlin.math.exp
+import kotlin.math.sqrt
 
 /**
  * How much room to keep ahead of demand. A class whose users ask for starts within a time finds room in two ways:
  * what running tasks free within that time, and what is kept free. Machines boot too slowly to help.
  */
-internal class Reserve(objectives: List<Objective>, private val estimates: Estimates) {
-    private class JobSizes {
-        var mean = 0.0
-        var spread = 0.0
-        var seen = 0
-
-        fun add(cpus: Double) {
-            seen = minOf(seen + 1, MEMORY)
-            spread += (kotlin.math.abs(cpus - mean) - spread) / seen
-            mean += (cpus - mean) / seen
+internal class Reserve(objectives: List<Objective>, teams: List<Team>, private val estimates: Estimates, private val now: Now) {
+    private class Arrivals {
+        /** Jobs, processors and squared processors that came of late; what came long ago has faded. */
+        var jobs = 0.0
+        var cpus = 0.0
+        var squares = 0.0
+        private var at = 0L
+
+        fun fade(nowMs: Long) {
+            val left = exp(-(nowMs - at) / Tuning.ARRIVALS_MS.toDouble())
+            jobs *= left
+            cpus *= left
+            squares *= left
+            at = nowMs
+        }
+
+        fun add(size: Double) {
+            jobs += 1.0
+            cpus += size
+            squares += size * size
         }
     }
 
+    private val limits = teams.associate { it.name to it.cpusMax }
+
     /** Seconds within which tasks of a class are to start, where that is asked for. */
     private val withinS: Map<String, Double> = objectives.startWithinS()
-    private val sizes = HashMap<String, JobSizes>()
+    private val arrivals = HashMap<String, Arrivals>()
 
     fun opened(job: Job) {
-        if (job.spec.menu in withinS) sizes.getOrPut(job.spec.menu) { JobSizes() }.add(job.spec.vcpus * job.spec.portions)
+        if (job.spec.menu !in withinS) return
+        // More than its team's limit never starts at once.
+        val atOnce = minOf(job.spec.vcpus * job.spec.portions, limits[job.spec.crew] ?: 0.0)
+        arrivals.getOrPut(job.spec.menu) { Arrivals() }.let {
+            it.fade(now.steady)
+            it.add(atOnce)
+        }
     }
 
     fun startWithinS(job: Job, otherwise: Double): Double = minOf(withinS[job.spec.menu] ?: otherwise, otherwise)
@@ -43,13 +65,24 @@
         }
     }
 
-    /** Processors to keep free. */
-    fun cpus(churn: Double): Double = sizes.entries.maxOfOrNull { (name, s) ->
-        s.mean + s.spread - churn * (withinS[name] ?: 0.0) * Tuning.CHURN_COUNTED
-    }?.coerceAtLeast(0.0) ?: 0.0
-
-    private companion object {
-        /** Jobs after which older ones fade. */
-        const val MEMORY = 50
+    /**
+     * Processors to keep free: what the classes that can't wait for a machine to boot are likely to bring within a
+     * boot time ([bootS]), less what frees within the time that they can wait.
+     */
+    fun cpus(churn: Double, bootS: Double): Double {
+        var expected = 0.0
+        var variance = 0.0
+        var within = Double.MAX_VALUE
+        for ((name, a) in arrivals) {
+            val wait = withinS[name] ?: continue
+            if (wait >= bootS) continue
+            a.fade(now.steady)
+            val horizons = bootS * 1000.0 / Tuning.ARRIVALS_MS
+            expected += a.cpus * horizons
+            variance += a.squares * horizons
+            within = minOf(within, wait)
+        }
+        if (expected == 0.0) return 0.0
+        return (expected + Tuning.RESERVE_DEVIATIONS * sqrt(variance) - churn * within * Tuning.CHURN_COUNTED).coerceAtLeast(0.0)
     }
 }
