--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -50,7 +50,7 @@
     val teams = Teams(settings.deployment.teams)
     private val estimates = Estimates()
     val reserve = Reserve(settings.deployment.objectives, settings.deployment.teams, estimates, now)
-    private val reliability = Reliability(estimates)
+    val reliability = Reliability(estimates)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
     private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, ::start)
 
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -10,6 +10,7 @@
 import ledgearch.core.Journal
 import ledgearch.core.Machine
 import ledgearch.core.Now
+import ledgearch.core.Placement
 import ledgearch.core.Transport
 import ledgearch.http.Reply
 import ledgearch.leader.Election
@@ -36,6 +37,16 @@
         val price: Double get() = price(rack, borrowed)
     }
 
+    /** Load comes in jobs: what it was a moment ago it may be again before a machine could boot. */
+    private class Peak {
+        var value = 0.0
+            private set
+
+        fun now(used: Double) {
+            value = maxOf(used, value - (value - used) * Tuning.PLAN_MS / Tuning.PEAK_MEMORY_MS)
+        }
+    }
+
     private class Booting(val pool: Pool, val since: Long)
 
     private val log = LoggerFactory.getLogger("ledgearch.fleet")
@@ -50,7 +61,8 @@
     private val renting = HashSet<String>()
     private var calmSince = 0L
     private var retiredAt = 0L
-    private var recentPeak = 0.0
+    private val load = Peak()
+    private val ordinaryLoad = Peak()
     private var rentRetryAt = 0L
     private var bookingSeq = 0L
     private val booting = LinkedHashMap<String, Booting>()
@@ -185,9 +197,8 @@
             }
         }
         val churn = holder.reserve.churn(holder.machines.values)
-        val used = holder.machines.values.sumOf { it.usedCpus }
-        // Load comes in jobs: what it was a moment ago it may be again before a machine could boot.
-        recentPeak = maxOf(used, recentPeak - (recentPeak - used) * Tuning.PLAN_MS / Tuning.PEAK_MEMORY_MS)
+        load.now(holder.machines.values.sumOf { it.usedCpus })
+        ordinaryLoad.now(holder.machines.values.sumOf { m -> m.placements.values.sumOf { ordinaryCpus(holder, it) } })
         val needs = Demand.of(book().jobs.values, holder, now)
         if (needs.isEmpty()) {
             if (calmSince == 0L) calmSince = now.steady
@@ -312,11 +323,13 @@
     private fun retireOne(holder: Holder, churn: Double): Boolean {
         val active = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining && !it.retiring }
         val capacity = active.sumOf { it.rack.vcpus }
-        val used = recentPeak
+        val used = load.value
+        val ordinary = active.sumOf { if (it.borrowed) 0.0 else it.rack.vcpus }
         val reserve = holder.reserve.cpus(churn, bootS())
         val m = active
             .filter { c -> now.steady - c.knownSince > Tuning.KEEP_MS && holder.canMoveReplicas(c, active) }
             .filter { capacity - it.rack.vcpus >= used + reserve }
+            .filter { c -> c.borrowed || ordinary - c.rack.vcpus >= ordinaryLoad.value }
             .filter { c -> c.borrowed || active.any { it !== c && !it.borrowed && it.hall == c.hall } }
             .maxWithOrNull(compareBy({ price(it.rack, it.borrowed) }, { -it.usedCpus })) ?: return false
         m.retiring = true
@@ -325,6 +338,12 @@
         return true
     }
 
+    /** What [p] takes if it belongs on an ordinary machine: it may not or should not run on spot. */
+    private fun ordinaryCpus(holder: Holder, p: Placement): Double {
+        val job = p.job
+        return if (job == null || p.exited || (job.spec.borrowed && !holder.reliability.spotIsRisky(job))) 0.0 else job.spec.vcpus
+    }
+
     /** Seconds until a machine of the quickest type is up. */
     private fun bootS() = book().racks.values.minOfOrNull { it.startupS } ?: 0.0
 
