HTTP parser: what ends a message is never a guess; messages tested whole and cut at every place

Chunks were decoded one by one (a character split between two was lost), signs passed as chunk sizes, and a message with two lengths, or a length and chunks, was taken. src/test/resources/messages.txt holds one case a line.

--- a/src/main/kotlin/ledgearch/http/MessageReader.kt
+++ b/src/main/kotlin/ledgearch/http/MessageReader.kt
@@ -1,6 +1,7 @@
 package ledgearch.http
 
 import ledgearch.Tuning
+import java.io.ByteArrayOutputStream
 
 /** The head of a message: its first line and the few header fields that matter here. */
 internal class Head(val startLine: String, val contentLength: Int, val chunked: Boolean, val close: Boolean)
@@ -15,7 +16,7 @@
     private var scanned = 0
     private var bodyStart = -1
     private var head: Head? = null
-    private val chunks = StringBuilder()
+    private val chunks = ByteArrayOutputStream()
     private var chunkAt = -1
 
     val isEmpty: Boolean get() = end == 0
@@ -58,15 +59,18 @@
         while (true) {
             val lineEnd = findLineEnd(chunkAt) ?: return null
             val size = String(bytes, chunkAt, lineEnd - chunkAt, Charsets.ISO_8859_1)
-                .substringBefore(';').trim().toIntOrNull(16) ?: throw BadMessage(400, "bad chunk size")
-            if (size < 0 || chunks.length + size > maxBody) throw BadMessage(413, "body too large")
+                .substringBefore(';').trim().takeIf { text -> text.isNotEmpty() && text.all { it in HEX } }
+                ?.let { it.toIntOrNull(16) ?: throw BadMessage(413, "body too large") } ?: throw BadMessage(400, "bad chunk size")
+            if (chunks.size() + size > maxBody) throw BadMessage(413, "body too large")
             val next = lineEnd + 2 + size + 2
             if (end < next) return null
+            if (bytes[next - 2] != CR || bytes[next - 1] != LF) throw BadMessage(400, "bad chunk end")
             if (size == 0) {
                 consume(next)
-                return chunks.toString().also { chunks.setLength(0) }
+                // Decoded as a whole: a character may begin in one chunk and end in the next.
+                return chunks.toString(Charsets.UTF_8).also { chunks.reset() }
             }
-            chunks.append(String(bytes, lineEnd + 2, size, Charsets.UTF_8))
+            chunks.write(bytes, lineEnd + 2, size)
             chunkAt = next
         }
     }
@@ -89,7 +93,7 @@
 
     private fun parseHead(text: String): Head {
         val lines = text.split("\r\n")
-        var length = 0
+        var length: Int? = null
         var chunked = false
         var close = lines[0].endsWith("HTTP/1.0")
         for (i in 1 until lines.size) {
@@ -100,7 +104,9 @@
             when (line.substring(0, colon).lowercase()) {
                 "content-length" -> {
                     if (value.isEmpty() || !value.all { it in '0'..'9' }) throw BadMessage(400, "bad content length")
-                    length = value.toIntOrNull() ?: throw BadMessage(413, "body too large")
+                    val announced = value.toIntOrNull() ?: throw BadMessage(413, "body too large")
+                    if (length != null && length != announced) throw BadMessage(400, "two content lengths")
+                    length = announced
                 }
                 "transfer-encoding" -> {
                     if (!value.equals("chunked", ignoreCase = true)) throw BadMessage(501, "unknown transfer encoding")
@@ -109,12 +115,15 @@
                 "connection" -> if (value.equals("close", ignoreCase = true)) close = true
             }
         }
-        return Head(lines[0], length, chunked, close)
+        // Two ways to find the end of a message, and they may differ: where it ends must not be a guess.
+        if (chunked && length != null) throw BadMessage(400, "both a content length and chunks")
+        return Head(lines[0], length ?: 0, chunked, close)
     }
 
     private companion object {
         const val CR = '\r'.code.toByte()
         const val LF = '\n'.code.toByte()
         const val MAX_CHUNK_LINE = 64
+        const val HEX = "0123456789abcdefABCDEF"
     }
 }
--- /dev/null
+++ b/src/test/kotlin/ledgearch/MessageTest.kt
@@ -0,0 +1,68 @@
+package ledgearch
+
+import ledgearch.http.BadMessage
+import ledgearch.http.MessageReader
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import java.nio.file.Path
+import kotlin.io.path.readLines
+import kotlin.random.Random
+
+/**
+ * The parser against `messages.txt`: each line holds what must come of a message, a bar, and the message, with `\r`
+ * and `\n` written out and `*N` after a character for N of it. Every message is read whole and cut in two at every place.
+ */
+internal class MessageTest {
+    @TestFactory
+    fun messages(): List<DynamicTest> {
+        val lines = Path.of("src/test/resources/messages.txt").readLines().filter { it.isNotBlank() && !it.startsWith("#") }
+        assertTrue(lines.isNotEmpty())
+        return lines.map { line ->
+            val (wanted, message) = line.split(" | ", limit = 2)
+            DynamicTest.dynamicTest(line.take(NAME)) {
+                val bytes = unescape(message).toByteArray()
+                val cuts = if (bytes.size > LONG) listOf(1, LONG, bytes.size) else (1..bytes.size).toList()
+                for (cut in cuts) assertEquals(wanted, read(bytes, cut), "cut at $cut")
+            }
+        }
+    }
+
+    /** Whatever comes, the reader either takes it or says which status it deserves. */
+    @Test
+    fun noise() {
+        val random = Random(1)
+        val pieces = listOf("GET / HTTP/1.1\r\n", "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "\r\n", "3\r\nabc\r\n", "0\r\n\r\n", ":", "\u0000", "é")
+        var refused = 0
+        repeat(ROUNDS) {
+            val text = (0..random.nextInt(12)).joinToString("") { pieces[random.nextInt(pieces.size)] }
+            if (read(text.toByteArray(), 1 + random.nextInt(5)).startsWith("bad ")) refused++
+        }
+        assertTrue(refused in 1 until ROUNDS, "$refused of $ROUNDS refused")
+    }
+
+    private fun read(bytes: ByteArray, cut: Int): String {
+        val reader = MessageReader(Tuning.MAX_BODY)
+        val bodies = ArrayList<String>()
+        try {
+            for (part in listOf(bytes.copyOfRange(0, minOf(cut, bytes.size)), bytes.copyOfRange(minOf(cut, bytes.size), bytes.size))) {
+                reader.append(part, part.size)
+                while (true) bodies.add(reader.body() ?: break)
+            }
+        } catch (e: BadMessage) {
+            return "bad ${e.status}"
+        }
+        return if (bodies.isEmpty()) "more" else "ok " + bodies.joinToString("+") { if (it.length > NAME) "${it.length}" else it }
+    }
+
+    private fun unescape(text: String): String =
+        Regex("(.)\\*(\\d+)").replace(text) { it.groupValues[1].repeat(it.groupValues[2].toInt()) }.replace("\\r", "\r").replace("\\n", "\n")
+
+    private companion object {
+        const val NAME = 60
+        const val LONG = 2_000
+        const val ROUNDS = 2_000
+    }
+}
