--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -243,6 +243,9 @@
     /** ms. Between two retirements: each shows in the load before the next. */
     const val RETIRE_MS = 3_000L
 
+    /** Machines. Rented at most unless operators say less: no bound in practice. */
+    const val MAX_MACHINES = 100_000
+
     /** Machines. Planned at one time; the need is looked at again before more. */
     const val RENT_AT_ONCE = 40
 
--- a/src/main/kotlin/ledgearch/cli/Main.kt
+++ b/src/main/kotlin/ledgearch/cli/Main.kt
@@ -1,5 +1,6 @@
 package ledgearch.cli
 
+import ledgearch.config.OperatorLoader
 import ledgearch.config.Settings
 import ledgearch.config.SettingsException
 import ledgearch.config.SettingsLoader
@@ -20,6 +21,7 @@
 
   serve --config FILE         run a controller until it is killed
   check-config --config FILE  check the settings file and print what is in effect
+  --operator FILE             operators' own settings (JSON), for both commands
   --version                   print the version
   --help                      print this help
 
@@ -28,6 +30,7 @@
 
 private val OPTIONS = Options()
     .addOption(Option.builder().longOpt("config").hasArg().argName("FILE").get())
+    .addOption(Option.builder().longOpt("operator").hasArg().argName("FILE").get())
     .addOption(Option.builder().longOpt("version").get())
     .addOption(Option.builder("h").longOpt("help").get())
 
@@ -53,7 +56,8 @@
     if (command != "serve" && command != "check-config") return usage("unknown command: $command")
     val file = line.getOptionValue("config") ?: return usage("$command needs --config FILE")
     val settings = try {
-        SettingsLoader.load(Path.of(file))
+        val platform = SettingsLoader.load(Path.of(file))
+        line.getOptionValue("operator")?.let { platform.copy(operator = OperatorLoader.load(Path.of(it))) } ?: platform
     } catch (e: SettingsException) {
         System.err.println("ledgearch: ${e.message}")
         return EXIT_SETTINGS
--- a/src/main/kotlin/ledgearch/config/Settings.kt
+++ b/src/main/kotlin/ledgearch/config/Settings.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
 
 /** The platform's settings file. */
 @Serializable
@@ -13,6 +14,7 @@
     val members: List<Member> = emptyList(),
     val outside: OutsideAddresses,
     val deployment: Deployment,
+    @Transient val operator: OperatorSettings = OperatorSettings(),
 )
 
 @Serializable
--- a/src/main/kotlin/ledgearch/config/SettingsLoader.kt
+++ b/src/main/kotlin/ledgearch/config/SettingsLoader.kt
@@ -2,8 +2,11 @@
 
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
 import java.io.IOException
 import java.nio.file.Files
+import java.nio.file.NoSuchFileException
 import java.nio.file.Path
 
 /** A settings file that can't be used; [message] names the file, the field and what is allowed. */
@@ -11,10 +14,18 @@
 
 object SettingsLoader {
     private val json = Json { ignoreUnknownKeys = true }
+    private val printer by lazy {
+        Json {
+            prettyPrint = true
+            encodeDefaults = true
+        }
+    }
 
     fun load(path: Path): Settings {
         val text = try {
             Files.readString(path)
+        } catch (_: NoSuchFileException) {
+            throw SettingsException("$path: there is no such file")
         } catch (e: IOException) {
             throw SettingsException("$path: cannot be read: ${e.message}")
         }
@@ -28,7 +39,11 @@
     }
 
     /** The settings in effect, defaults included. */
-    fun print(settings: Settings): String = Json { prettyPrint = true; encodeDefaults = true }.encodeToString(Settings.serializer(), settings)
+    fun print(settings: Settings): String {
+        val platform = printer.encodeToJsonElement(Settings.serializer(), settings).jsonObject
+        val operator = printer.encodeToJsonElement(OperatorSettings.serializer(), settings.operator)
+        return printer.encodeToString(JsonObject.serializer(), JsonObject(platform + ("operator" to operator)))
+    }
 
     private fun problem(s: Settings): String? {
         val deployment = s.deployment
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -46,13 +46,15 @@
     private val node = settings.node
     private val members = settings.members.associate { it.node to it.addr }
     private val now = Now()
-    private val state = StateClient(settings.outside.state, settings.deployment.state, settings.members.size + 1, transport, now)
+    private val metrics = Metrics(now)
+    private val metered = MeteredTransport(transport, settings.outside, metrics, now)
+    private val state = StateClient(settings.outside.state, settings.deployment.state, settings.members.size + 1, metered, now)
     private val book = Book(state, now, BookEvents())
     private val election: Election = Election(node, life, state, { book }, now, random, ElectionEvents())
     private val journal = Journal(state, election, book, now)
-    private val fleet: Fleet = Fleet(settings, transport, { election }, { book }, now, { journal })
-    private val holder = Holder(settings, state, transport, election, book, now, journal, fleet)
-    private val intake = Intake(settings.deployment, book, state, GrantEvents(), now)
+    private val fleet: Fleet = Fleet(settings, metered, { election }, { book }, now, { journal })
+    private val holder = Holder(settings, state, metered, election, book, now, journal, fleet, metrics)
+    private val intake = Intake(settings, book, state, GrantEvents(), now)
 
     private var publishAt = 0L
     private var publishedTo = 0
@@ -100,11 +102,23 @@
     private fun serve(request: Request, respond: (Response) -> Unit) {
         when (request.path) {
             "/up" -> respond(if (healthy()) Response(200, "{}") else Intake.error(503, "not ready"))
-            "/checkin" -> if (request.method == "POST") checkIn(request.body, respond) else respond(Intake.error(405, "use POST"))
-            else -> intake.handle(request, respond)
+            "/checkin" -> if (request.method == "POST") checkIn(request.body, measured("checkin", respond)) else respond(Intake.error(405, "use POST"))
+            "/metrics" -> respond(Response(200, WireJson.encodeToString(MetricsReport.serializer(), report())))
+            else -> intake.handle(request, measured(Intake.kind(request), respond))
         }
     }
 
+    private fun measured(what: String, respond: (Response) -> Unit): (Response) -> Unit {
+        val startedAt = now.steady
+        return {
+            metrics.answered(what, it.status, startedAt)
+            respond(it)
+        }
+    }
+
+    private fun report() =
+        metrics.report(node, election.token, book.jobs.size, holder.machines.size, holder.machines.values.sumOf { it.placements.size })
+
     private fun healthy() = book.loaded && book.racks.isNotEmpty() && now.steady - state.lastAnswer < Tuning.STATE_SILENT_MS
 
     private fun checkIn(body: String, respond: (Response) -> Unit) {
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -40,6 +40,7 @@
     private val now: Now,
     private val journal: Journal,
     private val fleet: Fleet,
+    private val metrics: Metrics,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
     private val times = settings.deployment.workers
@@ -49,7 +50,7 @@
     val machines = LinkedHashMap<String, Machine>()
     val teams = Teams(settings.deployment.teams)
     private val estimates = Estimates()
-    val reserve = Reserve(settings.deployment.objectives, settings.deployment.teams, estimates, now)
+    val reserve = Reserve(settings, estimates, now)
     val reliability = Reliability(estimates)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
     private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, ::start)
@@ -194,6 +195,7 @@
         if (fleet.isReturned(report.stove)) return null
         val m = Machine(report.stove, report.endpoint, rack, report.hall, report.borrowed, now.steady)
         m.answeredAt = now.steady
+        metrics.count("machine.joined")
         machines[m.name] = m
         journal.bind(m)
         fleet.arrived(m)
@@ -301,6 +303,7 @@
     private fun exited(p: Placement, cause: String?) {
         p.status = TaskStatus.EXITED
         p.cause = cause
+        metrics.count("task.exited.$cause")
         log.debug("{} try {} on {} exited: {}", p.task, p.attempt, p.machine.name, cause)
         val job = p.job ?: return
         val m = p.machine
@@ -359,6 +362,7 @@
 
     /** [p] is provably on its machine no more, and no start of it can arrive. */
     private fun gone(p: Placement) {
+        if (!p.exited) metrics.count("task.lost")
         if (!p.exited) log.debug("{} try {} is gone from {}", p.task, p.attempt, p.machine.name)
         p.machine.placements.remove(p.attempt)
         p.job?.free(p)
@@ -386,6 +390,7 @@
     }
 
     private fun start(job: Job, index: Int, m: Machine) {
+        metrics.count("task.started")
         val attempt = (tenure shl ATTEMPT_BITS) or (++attemptSeq and ((1L shl ATTEMPT_BITS) - 1))
         val p = Placement(job, "${job.id}/$index", index, attempt, m, now.steady)
         m.placements.put(attempt, p)
@@ -398,6 +403,7 @@
     }
 
     private fun preempt(p: Placement, by: Job) {
+        metrics.count("task.preempted")
         log.debug("{} on {} makes room for {} ({})", p.task, p.machine.name, by.id, by.spec.menu)
         p.stop = if ((p.job?.spec?.stirS ?: 0.0) > 0) Stop.SAVE_FIRST else Stop.AT_ONCE
         p.machine.pushWanted = true
@@ -605,6 +611,7 @@
 
     /** The machine and everything on it are gone. */
     fun machineGone(m: Machine) {
+        metrics.count("machine.gone")
         m.placements.values.toList().forEach(::gone)
         machines.remove(m.name)
         placer.machinesChanged(m)
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -26,7 +26,7 @@
 
 /** Rents, watches and returns machines. Only the holder of the grant does so; every node may read the catalog. */
 internal class Fleet(
-    settings: Settings,
+    private val settings: Settings,
     private val transport: Transport,
     private val election: () -> Election,
     private val book: () -> Book,
@@ -216,6 +216,7 @@
         if (now.steady < rentRetryAt) return
         val coming = booting.values.map { Supply(it.pool.rack, it.pool.hall, it.pool.borrowed) }.toMutableList()
         val planned = LinkedHashMap<Pool, Int>()
+        val mayRent = minOf(Tuning.RENT_AT_ONCE, settings.operator.maxMachines - holder.machines.size - booting.size)
         var freed = 0.0
         for (need in needs) {
             var left = need.unmetBy(coming)
@@ -230,7 +231,7 @@
                 left -= served
                 freed += served * spec.vcpus
             }
-            while (left > 0 && planned.values.sum() < Tuning.RENT_AT_ONCE) {
+            while (left > 0 && planned.values.sum() < mayRent) {
                 val pool = cheapest(need.job, holder, planned) ?: break
                 val supply = Supply(pool.rack, pool.hall, pool.borrowed)
                 val taken = supply.take(need.job, left)
@@ -262,6 +263,7 @@
         return book().racks.values
             .filter { tasksPerMachine(job, it) > 0 }
             .flatMap { rack -> rack.halls.flatMap { hall -> listOf(Pool(rack, hall, true), Pool(rack, hall, false)) } }
+            .filter { settings.operator.spot || !it.borrowed }
             .filter { job.allows(it.rack, it.hall, it.borrowed) }
     }
 
--- a/src/main/kotlin/ledgearch/fleet/Reserve.kt
+++ b/src/main/kotlin/ledgearch/fleet/Reserve.kt
@@ -1,8 +1,7 @@
 package ledgearch.fleet
 
 import ledgearch.Tuning
-import ledgearch.config.Objective
-import ledgearch.config.Team
+import ledgearch.config.Settings
 import ledgearch.config.startWithinS
 import ledgearch.core.Job
 import ledgearch.core.Machine
@@ -16,7 +15,7 @@
  * How much room to keep ahead of demand. A class whose users ask for starts within a time finds room in two ways:
  * what running tasks free within that time, and what is kept free. Machines boot too slowly to help.
  */
-internal class Reserve(objectives: List<Objective>, teams: List<Team>, private val estimates: Estimates, private val now: Now) {
+internal class Reserve(settings: Settings, private val estimates: Estimates, private val now: Now) {
     private class Arrivals {
         /** Jobs, processors and squared processors that came of late; what came long ago has faded. */
         var jobs = 0.0
@@ -39,10 +38,11 @@
         }
     }
 
-    private val limits = teams.associate { it.name to it.cpusMax }
+    private val deviations = settings.operator.reserveDeviations
+    private val limits = settings.deployment.teams.associate { it.name to it.cpusMax }
 
     /** Seconds within which tasks of a class are to start, where that is asked for. */
-    private val withinS: Map<String, Double> = objectives.startWithinS()
+    private val withinS: Map<String, Double> = settings.deployment.objectives.startWithinS()
     private val arrivals = HashMap<String, Arrivals>()
 
     fun opened(job: Job) {
@@ -83,6 +83,6 @@
             within = minOf(within, wait)
         }
         if (expected == 0.0) return 0.0
-        return (expected + Tuning.RESERVE_DEVIATIONS * sqrt(variance) - churn * within * Tuning.CHURN_COUNTED).coerceAtLeast(0.0)
+        return (expected + deviations * sqrt(variance) - churn * within * Tuning.CHURN_COUNTED).coerceAtLeast(0.0)
     }
 }
--- a/src/main/kotlin/ledgearch/intake/Intake.kt
+++ b/src/main/kotlin/ledgearch/intake/Intake.kt
@@ -1,7 +1,7 @@
 package ledgearch.intake
 
 import ledgearch.Tuning
-import ledgearch.config.Deployment
+import ledgearch.config.Settings
 import ledgearch.config.Team
 import ledgearch.core.Book
 import ledgearch.core.FinalRecord
@@ -37,7 +37,7 @@
  * this node knows is not older than what any node has told.
  */
 internal class Intake(
-    deployment: Deployment,
+    private val settings: Settings,
     private val book: Book,
     private val state: StateClient,
     private val grant: GrantView,
@@ -49,8 +49,8 @@
 
     private class Withdrawal(val since: Long, val respond: (Response) -> Unit)
 
-    private val teams: Map<String, Team> = deployment.teams.associateBy { it.name }
-    private val valueLimit = (deployment.state.valueKb * 1024).toInt()
+    private val teams: Map<String, Team> = settings.deployment.teams.associateBy { it.name }
+    private val valueLimit = (settings.deployment.state.valueKb * 1024).toInt()
     private val submissions = LinkedHashMap<String, Submission>()
     private var submitting = false
     private var submitRetryAt = 0L
@@ -294,11 +294,18 @@
 
     private fun status(code: Int, body: WorkStatus) = Response(code, WireJson.encodeToString(WorkStatus.serializer(), body))
 
-    private fun busy() = Response(503, BUSY, Tuning.RETRY_AFTER_S)
+    private fun busy() = Response(503, BUSY, settings.operator.retryAfterS)
 
     companion object {
         private const val BUSY = """{"error":"try again later"}"""
 
+        /** What a user's request asks for, for counting. */
+        fun kind(request: Request): String = when {
+            request.method == "GET" -> "poll"
+            request.path.endsWith("/withdraw") -> "withdraw"
+            else -> "submit"
+        }
+
         fun error(code: Int, why: String) = Response(code, WireJson.encodeToString(ErrorBody.serializer(), ErrorBody(why)))
     }
 }
--- /dev/null
+++ b/src/test/kotlin/ledgearch/OperatorSettingsTest.kt
@@ -0,0 +1,43 @@
+package ledgearch
+
+import ledgearch.config.OperatorLoader
+import ledgearch.config.SettingsException
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+import kotlin.io.path.readLines
+import kotlin.io.path.writeText
+
+/** The operators' file against the published schema. */
+internal class OperatorSettingsTest {
+    @TempDir
+    lateinit var folder: Path
+
+    @TestFactory
+    fun files(): List<DynamicTest> =
+        Path.of("src/test/resources/operator-settings.txt").readLines().filter { it.isNotBlank() && !it.startsWith("#") }.map { line ->
+            val (wanted, text) = line.split(" | ", limit = 2)
+            DynamicTest.dynamicTest(line) {
+                val file = folder.resolve("operator.json").apply { writeText(text) }
+                if (wanted == "fine") {
+                    OperatorLoader.load(file)
+                } else {
+                    val message = assertThrows(SettingsException::class.java) { OperatorLoader.load(file) }.message.orEmpty()
+                    assertTrue(wanted in message, message)
+                }
+            }
+        }
+
+    @Test
+    fun valuesAreTaken() {
+        val file = folder.resolve("operator.json").apply { writeText("""{"spot":false,"maxMachines":10}""") }
+        val settings = OperatorLoader.load(file)
+        assertEquals(false to 10, settings.spot to settings.maxMachines)
+        assertEquals(Tuning.RETRY_AFTER_S, settings.retryAfterS)
+    }
+}
--- a/src/test/kotlin/ledgearch/world/CloudStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/CloudStandIn.kt
@@ -28,6 +28,8 @@
         return name
     }
 
+    val spotCount: Int get() = machines.values.count { it.borrowed }
+
     private fun newName() = "host-" + (next++).toString().padStart(6, '0')
 
     fun handle(method: String, target: String, body: String?, answer: (Reply) -> Unit) {
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -1,5 +1,7 @@
 package ledgearch.world
 
+import ledgearch.Tuning
+import ledgearch.config.OperatorSettings
 import ledgearch.wire.WorkRequest
 
 /**
@@ -25,7 +27,7 @@
 
     /** What went wrong; empty when all is well. */
     fun play(): List<String> {
-        val world = World(options["nodes"]?.toInt() ?: 1, options["seed"]?.toLong() ?: 1)
+        val world = World(options["nodes"]?.toInt() ?: 1, options["seed"]?.toLong() ?: 1, operator())
         world.loss = options["loss"]?.toDouble() ?: 0.0
         world.cloud.capacity = options["capacity"]?.toInt() ?: 0
         options["machines"].orEmpty().split(' ').filter { it.isNotEmpty() }.forEach { place ->
@@ -71,6 +73,11 @@
         }
     }
 
+    private fun operator() = OperatorSettings(
+        spot = options["spot"] != "no",
+        maxMachines = options["max-machines"]?.toInt() ?: Tuning.MAX_MACHINES,
+    )
+
     private fun holder(world: World) = world.state.field("w/g/0", "node") ?: "none"
 
     /** A machine's name, or the machine on which a task is: `@job-1/0`. */
@@ -92,6 +99,7 @@
             "finished" -> world.rules.completedOf(w[2]).let { check("finished ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "accepted" -> check("accepted ${w[2]}", false, world.rules.isAccepted(w[2]))
             "machines" -> world.cloud.names.size.let { check("machines ${w[2]}", it, it == w[2].toInt()) }
+            "spot-machines" -> world.cloud.spotCount.let { check("spot machines ${w[2]}", it, it == w[2].toInt()) }
             "gone" -> check("gone ${w[2]}", true, w[2] !in world.cloud.names)
             "holder" -> holder(world).let { check("holder ${w[2]}", it, if (w[2] == "any") it != "none" else if (w[2].startsWith("not-")) it != "none" && "not-$it" != w[2] else it == w[2]) }
             "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -4,6 +4,7 @@
 import ledgearch.config.Deployment
 import ledgearch.config.Member
 import ledgearch.config.Objective
+import ledgearch.config.OperatorSettings
 import ledgearch.config.OutsideAddresses
 import ledgearch.config.Settings
 import ledgearch.config.StateLimits
@@ -23,7 +24,7 @@
 import kotlin.random.Random
 
 /** Controllers, stand-ins of everything around them and a network between, all on one simulated clock. */
-internal class World(nodeCount: Int, seed: Long) {
+internal class World(nodeCount: Int, seed: Long, private val operator: OperatorSettings = OperatorSettings()) {
     val clock = Clockwork()
     val random = Random(seed)
     val rules = Rules(this)
@@ -58,6 +59,7 @@
                 state = StateLimits(200.0, 60.0, 8.0, 16),
                 cloud = CloudLimits(2.0, 3.0),
             ),
+            operator = operator,
         )
         private var life = 0
         private var controller: Controller? = null
