--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -114,8 +114,6 @@
         dirty = true
     }
 
-    fun zoneAllowed(job: Job, hall: String) = placer.zoneAllowed(job, hall)
-
     fun changed() {
         dirty = true
     }
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -4,6 +4,7 @@
 import ledgearch.core.Machine
 import ledgearch.core.Now
 import ledgearch.core.Teams
+import ledgearch.core.Zones
 
 /**
  * The ordinary path. Machines start the heads of their first-come queues as room shows; new tasks take a machine
@@ -52,7 +53,7 @@
             ordered.filterTo(waiting) { it.pendingCount > 0 }
         }
         if (waiting.isEmpty()) return
-        preemption.pass(waiting, usable, ::zoneAllowed)
+        preemption.pass(waiting, usable)
         val lists = PreferredLists(usable)
         for (job in waiting) bindRest(job, usable, lists)
     }
@@ -63,7 +64,7 @@
      */
     private fun startHurried(jobs: List<Job>, usable: List<Machine>) {
         if (jobs.isEmpty()) return
-        val placed = preemption.besideImages(jobs, usable, ::zoneAllowed)
+        val placed = preemption.besideImages(jobs, usable)
         for (job in jobs) while (job.pendingCount > (placed[job] ?: 0) && startOne(job, usable)) Unit
     }
 
@@ -73,7 +74,8 @@
     private fun startOne(job: Job, usable: List<Machine>): Boolean {
         val index = job.nextPending() ?: return false
         if (!teams.allows(job)) return false
-        val fitting = usable.filter { eligible(job, it) }
+        val zones = Zones(job)
+        val fitting = usable.filter { it.allows(job) && it.hasRoom(job) && zones.allows(it.hall) }
         if (fitting.isEmpty()) return false
         val m = fitting.minWith(preference(job))
         // A bound task that starts leaves the queue that it waited in, its machine's own if it can be.
@@ -85,18 +87,6 @@
         return true
     }
 
-    private fun eligible(job: Job, m: Machine): Boolean = m.allows(job) && m.hasRoom(job) && zoneAllowed(job, m.hall) && teams.allows(job)
-
-    /** `samePlace` and `apart`, counting every task that may still be on a machine. */
-    fun zoneAllowed(job: Job, hall: String): Boolean {
-        if (!job.spec.samePlace && !job.spec.apart) return true
-        var here = 0
-        for (p in job.placements.values) {
-            if (p.machine.hall == hall) here++ else if (job.spec.samePlace) return false
-        }
-        return !job.spec.apart || here < (job.spec.portions + 1) / 2
-    }
-
     private fun preference(job: Job): Comparator<Machine> {
         val onMachine = HashMap<Machine, Int>()
         val inHall = HashMap<String, Int>()
@@ -126,7 +116,8 @@
     private fun hurriedImagesOn(m: Machine) = hurriedImages.count { it in m.fetched }
 
     private fun bindRest(job: Job, usable: List<Machine>, lists: PreferredLists) {
-        val fitting = usable.filter { it.allows(job) && zoneAllowed(job, it.hall) }
+        val zones = Zones(job)
+        val fitting = usable.filter { it.allows(job) && zones.allows(it.hall) }
         if (fitting.isEmpty()) return
         var rest = job.pendingCount - (bound[job] ?: 0)
         while (rest > 0) {
@@ -134,7 +125,7 @@
             val target = if (home.queue.band != Band.OVERLOADED) {
                 home
             } else {
-                lists.of(home).firstOrNull { it.queue.band == Band.UNDERLOADED && it.allows(job) && zoneAllowed(job, it.hall) } ?: return
+                lists.of(home).firstOrNull { it.queue.band == Band.UNDERLOADED && it.allows(job) && zones.allows(it.hall) } ?: return
             }
             target.queue.bind(job)
             bound.merge(job, 1, Int::plus)
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -8,6 +8,7 @@
 import ledgearch.core.Stop
 import ledgearch.core.TaskStatus
 import ledgearch.core.Teams
+import ledgearch.core.Zones
 import ledgearch.wire.Urgencies
 
 /**
@@ -28,18 +29,18 @@
     }
 
     /** [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them. */
-    fun pass(waiting: List<Job>, usable: List<Machine>, zoneAllowed: (Job, String) -> Boolean) {
+    fun pass(waiting: List<Job>, usable: List<Machine>) {
         val prospects = usable.map { Prospect(it) }
-        claim(waiting, zoneAllowed, prospects) { job, guaranteed, fitting -> roomFor(job, guaranteed, fitting) }
+        claim(waiting, prospects) { job, guaranteed, fitting -> roomFor(job, guaranteed, fitting) }
     }
 
     /**
      * Room for [hurried] jobs on machines that have their image, at the cost of no other job's aims. Returns for each
      * job how many of its tasks get it at once.
      */
-    fun besideImages(hurried: List<Job>, usable: List<Machine>, zoneAllowed: (Job, String) -> Boolean): Map<Job, Int> {
+    fun besideImages(hurried: List<Job>, usable: List<Machine>): Map<Job, Int> {
         val prospects = usable.filter { m -> hurried.any { m.imageDistance(it.spec.recipe) == 0 } }.map { Prospect(it) }
-        return claim(hurried, zoneAllowed, prospects) { job, guaranteed, fitting ->
+        return claim(hurried, prospects) { job, guaranteed, fitting ->
             roomFor(job, guaranteed, fitting.filter { it.machine.imageDistance(job.spec.recipe) == 0 }, sparing = true)
         }
     }
@@ -47,7 +48,6 @@
     /** Lets each job in turn find or make room for its tasks; returns how many of them each has got it for. */
     private fun claim(
         waiting: List<Job>,
-        zoneAllowed: (Job, String) -> Boolean,
         prospects: List<Prospect>,
         place: (Job, Boolean, List<Prospect>) -> Prospect?,
     ): Map<Job, Int> {
@@ -55,13 +55,15 @@
         // Tasks of each team that have got room here, in processors.
         val promised = HashMap<String, Double>()
         for (job in waiting) {
-            val fitting = prospects.filter { it.machine.allows(job) && zoneAllowed(job, it.machine.hall) }
+            val allowed = prospects.filter { it.machine.allows(job) }
+            val zones = Zones(job)
             var left = minOf(job.pendingCount, teams.roomFor(job))
             while (left > 0) {
                 val cpus = promised[job.spec.crew] ?: 0.0
                 val guaranteed = teams.mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
-                val prospect = place(job, guaranteed, fitting) ?: break
+                val prospect = place(job, guaranteed, allowed.filter { zones.allows(it.machine.hall) }) ?: break
                 prospect.room.take(job)
+                zones.add(prospect.machine.hall)
                 placed.merge(job, 1, Int::plus)
                 promised[job.spec.crew] = cpus + job.spec.vcpus
                 left--
--- a/src/main/kotlin/ledgearch/fleet/Demand.kt
+++ b/src/main/kotlin/ledgearch/fleet/Demand.kt
@@ -4,31 +4,37 @@
 import ledgearch.core.Job
 import ledgearch.core.Now
 import ledgearch.core.Room
+import ledgearch.core.Zones
 import ledgearch.wire.Rack
 
 /** Room that is on its way: a rented machine that has not reported yet. */
 internal class Supply(private val rack: Rack, private val hall: String, private val borrowed: Boolean) {
     private val room = Room(rack)
 
-    /** Takes as many of [tasks] of [job] as fit; returns how many. */
-    fun take(job: Job, tasks: Int): Int {
+    /** Takes as many of [tasks] of [job] as fit here and in its [zones]; returns how many. */
+    fun take(job: Job, tasks: Int, zones: Zones): Int {
         if (!job.allows(rack, hall, borrowed)) return 0
+        val most = zones.room(hall, tasks)
         var taken = 0
-        while (taken < tasks && room.fits(job)) {
+        while (taken < most && room.fits(job)) {
             room.take(job)
             taken++
         }
+        zones.add(hall, taken)
         return taken
     }
 }
 
 /** Tasks of a job that wait although their team may run them: room is missing. */
 internal class Demand(val job: Job, private val tasks: Int) {
+    /** Where its tasks are or are planned to be. */
+    val zones = Zones(job)
+
     fun unmetBy(supplies: List<Supply>): Int {
         var left = tasks
         for (s in supplies) {
             if (left == 0) break
-            left -= s.take(job, left)
+            left -= s.take(job, left, zones)
         }
         return left
     }
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -224,7 +224,7 @@
             if (!need.job.standing && spec.vcpus > 0) {
                 val startup = bootS()
                 // Where only dear machines are left to rent, all that frees before one could be up is counted on.
-                val dear = isDear(need.job, cheapest(need.job, holder, planned))
+                val dear = isDear(need.job, cheapest(need, planned))
                 val within = if (dear) startup else holder.reserve.startWithinS(need.job, startup)
                 val soon = churn * within * (if (dear) 1.0 else Tuning.CHURN_COUNTED) - freed
                 val served = minOf(left, (soon / spec.vcpus).toInt().coerceAtLeast(0))
@@ -232,9 +232,9 @@
                 freed += served * spec.vcpus
             }
             while (left > 0 && planned.values.sum() < mayRent) {
-                val pool = cheapest(need.job, holder, planned) ?: break
+                val pool = cheapest(need, planned) ?: break
                 val supply = Supply(pool.rack, pool.hall, pool.borrowed)
-                val taken = supply.take(need.job, left)
+                val taken = supply.take(need.job, left, need.zones)
                 if (taken == 0) break
                 left -= taken
                 coming.add(supply)
@@ -254,8 +254,8 @@
         return minOf(byCpu, byMemory, 1e6).toInt()
     }
 
-    private fun cheapest(job: Job, holder: Holder, planned: Map<Pool, Int>): Pool? {
-        val pools = pools(job).filter { holder.zoneAllowed(job, it.hall) && now.steady >= (exhausted[key(it)] ?: Long.MIN_VALUE) }
+    private fun cheapest(need: Demand, planned: Map<Pool, Int>): Pool? {
+        val pools = pools(need.job).filter { need.zones.allows(it.hall) && now.steady >= (exhausted[key(it)] ?: Long.MIN_VALUE) }
         return pools.minWithOrNull(compareBy({ it.price }, { p -> booting.values.count { it.pool.hall == p.hall } + (planned[p] ?: 0) }))
     }
 
