--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -154,6 +154,7 @@
             machines[name] = Machine(name, record.endpoint, record.rack, record.hall, record.borrowed, now.steady).also {
                 it.inherited = true
                 it.durable = true
+                it.draining = record.aside
             }
         } else {
             val id = name.substringBefore('/')
@@ -356,6 +357,8 @@
         if (m.draining || !(several || provenElsewhere)) return
         log.warn("machine {} fails everything ({} tasks in a row); it is put aside", m.name, m.errorsInRow)
         m.draining = true
+        // The next holder is to know it too: it would have to fail its own tasks there to find out.
+        journal.bind(m)
     }
 
     /** [p] is provably on its machine no more, and no start of it can arrive. */
@@ -408,17 +411,20 @@
     }
 
     /**
-     * The replicas on [m] have settled, and others of [machines] have room for them in the same zone and their images:
-     * moved there, each is away for no longer than a start takes.
+     * The replicas on [m] have settled, and others of [machines] have room for them and their images, in the same zone
+     * where the zone matters: moved there, each is away for no longer than a start takes.
      */
     fun canMoveReplicas(m: Machine, machines: List<Machine>): Boolean {
         val replicas = m.placements.values.filter { it.job?.standing == true && !it.exited }
         if (replicas.isEmpty()) return true
-        val rooms = machines.filter { it !== m && it.hall == m.hall && placer.usable(it) }.associateWith { it.roomLeft() }
+        val rooms = machines.filter { it !== m && placer.usable(it) }.associateWith { it.roomLeft() }
         return replicas.all { p ->
             val job = p.job ?: return false
             val settled = p.status == TaskStatus.RUNNING && now.steady - p.runningSince > Tuning.SETTLED_MS && p.stop == Stop.NONE
-            val target = rooms.entries.firstOrNull { (to, room) -> settled && to.allows(job) && to.imageDistance(job.spec.recipe) == 0 && room.fits(job) }
+            val anywhere = !job.spec.apart && !job.spec.samePlace
+            val target = rooms.entries.firstOrNull { (to, room) ->
+                settled && (anywhere || to.hall == m.hall) && to.allows(job) && to.imageDistance(job.spec.recipe) == 0 && room.fits(job)
+            }
             target?.value?.take(job)
             target != null
         }
--- a/src/main/kotlin/ledgearch/core/Journal.kt
+++ b/src/main/kotlin/ledgearch/core/Journal.kt
@@ -101,7 +101,7 @@
             return true
         }
         for (m in machinePuts.values) {
-            val value = encode(MachineRecord.serializer(), MachineRecord(0, m.endpoint, m.rack, m.hall, m.borrowed))
+            val value = encode(MachineRecord.serializer(), MachineRecord(0, m.endpoint, m.rack, m.hall, m.borrowed, m.draining))
             if (!add(Entry(emptyList(), listOf(Change(put = Keys.machine(m.name), v = value))) { machineWritten(m) })) return entries
         }
         for ((id, closing) in closings) {
--- a/src/main/kotlin/ledgearch/core/Records.kt
+++ b/src/main/kotlin/ledgearch/core/Records.kt
@@ -51,9 +51,16 @@
 @Serializable
 internal data class GrantRecord(val node: String, val life: Long)
 
-/** A machine of a block, written before anything starts on it. */
+/** A machine of a block, written before anything starts on it. [aside]: it fails what it starts, and gets nothing new. */
 @Serializable
-internal data class MachineRecord(val block: Int, val endpoint: String, val rack: Rack, val hall: String, val borrowed: Boolean)
+internal data class MachineRecord(
+    val block: Int,
+    val endpoint: String,
+    val rack: Rack,
+    val hall: String,
+    val borrowed: Boolean,
+    val aside: Boolean = false,
+)
 
 /** The finished tasks of one chunk of a job, as ranges: `0-3,7`. */
 @Serializable
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -297,7 +297,9 @@
     }
 
     private fun returnEmpty(holder: Holder) {
+        val active = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining && !it.retiring }
         for (m in holder.machines.values.toList()) {
+            if (m.draining && m.confirmed && holder.canMoveReplicas(m, active)) holder.moveReplicas(m)
             if ((m.draining || m.retiring) && m.placements.isEmpty() && m.confirmed && !m.releasing) {
                 log.info("machine {} is empty and not needed; it is returned", m.name)
                 release(m)
--- a/src/test/kotlin/ledgearch/world/Rules.kt
+++ b/src/test/kotlin/ledgearch/world/Rules.kt
@@ -19,6 +19,14 @@
     var lastAttempt = 0L
         private set
 
+    /** Starts that a faulty machine failed. */
+    var failures = 0
+        private set
+
+    fun failed() {
+        failures++
+    }
+
     fun isAccepted(job: String) = job in accepted
 
     fun completedOf(job: String) = completed.count { it.substringBefore('/') == job }
--- a/src/test/kotlin/ledgearch/world/WorkerStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/WorkerStandIn.kt
@@ -151,7 +151,10 @@
         changed = true
         world.rules.commanded(this, task)
         if (busy) return exit(task, "busy")
-        if (sick) return exit(task, "error")
+        if (sick) {
+            world.rules.failed()
+            return exit(task, "error")
+        }
         if (!world.rules.fits(this, task)) return exit(task, "full")
         val session = shift
         clock.after(world.fetchMs) { whenFree(task, session) { begin(task, session) } }
