--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -243,6 +243,9 @@
     /** ms. Between two retirements: each shows in the load before the next. */
     const val RETIRE_MS = 3_000L
 
+    /** Machines. Returned ones that are remembered: late reports and lists still name them for some minutes. */
+    const val RETURNED_KEPT = 2_000
+
     /** Machines. Rented at most unless operators say less: no bound in practice. */
     const val MAX_MACHINES = 100_000
 
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -142,6 +142,7 @@
                 booting.remove(name)
                 holder.machines[name]?.let(holder::machineGone)
             }
+            while (returned.size > Tuning.RETURNED_KEPT) returned.remove(returned.first())
         }
     }
 
