--- a/src/main/kotlin/ledgearch/core/Room.kt
+++ b/src/main/kotlin/ledgearch/core/Room.kt
@@ -30,8 +30,7 @@
     /** How many tasks of [job] fit, at most [most]. */
     fun count(job: Job, most: Int): Int {
         val spec = job.spec
-        fun by(free: Double, each: Double) = if (each > 0) (free + Machine.ROUNDING) / each else Double.MAX_VALUE
-        return minOf(by(cpus, spec.vcpus), by(gpus, spec.accelerators), by(memory, spec.memoryGb)).coerceIn(0.0, most.toDouble()).toInt()
+        return minOf(tasks(cpus, spec.vcpus, gpus, spec.accelerators, most), tasks(memory, spec.memoryGb, 0.0, 0.0, most))
     }
 
     fun fits(job: Job): Boolean {
@@ -40,4 +39,12 @@
             spec.accelerators <= gpus + Machine.ROUNDING &&
             spec.memoryGb <= memory + Machine.ROUNDING
     }
+
+    companion object {
+        /** How often [each] and [eachToo] fit into [free] and [freeToo], at most [most]. */
+        fun tasks(free: Double, each: Double, freeToo: Double, eachToo: Double, most: Int): Int {
+            fun by(have: Double, need: Double) = if (need > 0) (have + Machine.ROUNDING) / need else Double.MAX_VALUE
+            return minOf(by(free, each), by(freeToo, eachToo)).coerceIn(0.0, most.toDouble()).toInt()
+        }
+    }
 }
--- a/src/main/kotlin/ledgearch/core/Teams.kt
+++ b/src/main/kotlin/ledgearch/core/Teams.kt
@@ -103,11 +103,15 @@
             use.keptGpus - job.spec.accelerators >= use.team.gpus - Machine.ROUNDING
     }
 
+    /** How many more tasks of [job] its team's limit allows once what is being stopped is gone. */
+    fun roomOnceStopped(job: Job): Int {
+        val use = uses[job.spec.crew] ?: return 0
+        return Room.tasks(use.team.cpusMax - use.keptCpus, job.spec.vcpus, use.team.gpusMax - use.keptGpus, job.spec.accelerators, job.spec.portions)
+    }
+
     /** How many more tasks of [job] its team's limit allows when [promised] processors more are spoken for. */
     fun roomFor(job: Job, promised: Double = 0.0): Int {
         val use = uses[job.spec.crew] ?: return 0
-        val byCpu = if (job.spec.vcpus > 0) (use.team.cpusMax - use.cpus - promised + Machine.ROUNDING) / job.spec.vcpus else Double.MAX_VALUE
-        val byGpu = if (job.spec.accelerators > 0) (use.team.gpusMax - use.gpus + Machine.ROUNDING) / job.spec.accelerators else Double.MAX_VALUE
-        return minOf(byCpu, byGpu).coerceIn(0.0, job.spec.portions.toDouble()).toInt()
+        return Room.tasks(use.team.cpusMax - use.cpus - promised, job.spec.vcpus, use.team.gpusMax - use.gpus, job.spec.accelerators, job.spec.portions)
     }
 }
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -57,21 +57,37 @@
         for (job in waiting) {
             val allowed = prospects.filter { it.machine.allows(job) }
             val zones = Zones(job)
-            var left = minOf(job.pendingCount, teams.roomFor(job))
-            while (left > 0) {
+            var done = 0
+            while (done < job.pendingCount) {
+                val yielding = if (done < teams.roomOnceStopped(job)) null else yielding(job, prospects) ?: break
                 val cpus = promised[job.spec.crew] ?: 0.0
                 val guaranteed = teams.mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
                 val prospect = place(job, guaranteed, allowed.filter { zones.allows(it.machine.hall) }) ?: break
+                yielding?.let {
+                    it.first.room.give(it.second.job)
+                    it.second.job?.let(teams::giveUp)
+                    stop(it.second, job)
+                }
                 prospect.room.take(job)
                 zones.add(prospect.machine.hall)
                 placed.merge(job, 1, Int::plus)
                 promised[job.spec.crew] = cpus + job.spec.vcpus
-                left--
+                done++
             }
         }
         return placed
     }
 
+    /** A less urgent task of the same team, where the team's limit leaves no room for [job]; its place matters not. */
+    private fun yielding(job: Job, prospects: List<Prospect>): Pair<Prospect, Placement>? = prospects
+        .flatMap { at -> at.machine.placements.values.map { at to it } }
+        .filter { (_, p) ->
+            val other = p.job
+            other != null && !p.exited && p.stop == Stop.NONE && other.spec.crew == job.spec.crew && other.urgency > job.urgency &&
+                other.spec.vcpus >= job.spec.vcpus && other.spec.accelerators >= job.spec.accelerators
+        }
+        .minByOrNull { (_, p) -> cost(p) }
+
     /** [sparing]: no task is stopped whose job would miss an aim by that. */
     private fun roomFor(job: Job, guaranteed: Boolean, prospects: List<Prospect>, sparing: Boolean = false): Prospect? =
         prospects.filter { it.room.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) } ?: makeRoom(job, guaranteed, prospects, sparing)
