--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -49,6 +49,10 @@
             "submit-many" -> repeat(w[1].toInt()) { i ->
                 world.clock.after(i * w[2].toLong()) { world.submit(spec(listOf("job-${FIRST_OF_MANY + i}") + w.drop(3))) }
             }
+            // poll-many COUNT EVERY-MS TIMES: each of so many jobs numbered from 1000.
+            "poll-many" -> repeat(w[3].toInt()) { t ->
+                world.clock.after(t * w[2].toLong()) { repeat(w[1].toInt()) { i -> world.poll("job-${FIRST_OF_MANY + i}") { _, _ -> } } }
+            }
             "withdraw" -> world.withdraw(w[1])
             "crash" -> world.nodes.first { it.name == named(1) }.crash()
             "crash-all" -> world.nodes.forEach { it.crash() }
