One piece of code each for reading settings, stopping a task and machines in service

The dear check whether replicas can move comes after the cheap ones, and looking for a task that yields no longer makes a pair for every attempt.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -153,7 +153,7 @@
     /** ms. Between two tries to reach an unconfirmed machine directly, and the time that one may take. */
     const val PROBE_MS = 900L
 
-    /** Probes in a row without an answer after which an inherited machine is released. */
+    /** Probes in a row without an answer after which an inherited or overdue machine is released. */
     const val PROBES = 2
 
     /** Reports. The longest that a worker takes for one, as the protocol has it. */
--- a/src/main/kotlin/ledgearch/config/SettingsLoader.kt
+++ b/src/main/kotlin/ledgearch/config/SettingsLoader.kt
@@ -12,6 +12,17 @@
 /** A settings file that can't be used; [message] names the file, the field and what is allowed. */
 class SettingsException(message: String) : Exception(message)
 
+/** What [parse] makes of the file at [path]; whatever is wrong with it is told in one line. */
+internal fun <T> readSettings(path: Path, parse: (String) -> T): T = try {
+    parse(Files.readString(path))
+} catch (_: NoSuchFileException) {
+    throw SettingsException("$path: there is no such file")
+} catch (e: IOException) {
+    throw SettingsException("$path: cannot be read: ${e.message}")
+} catch (e: SerializationException) {
+    throw SettingsException("$path: ${e.message?.lineSequence()?.first()}")
+}
+
 object SettingsLoader {
     private val json = Json { ignoreUnknownKeys = true }
     private val printer by lazy {
@@ -22,18 +33,7 @@
     }
 
     fun load(path: Path): Settings {
-        val text = try {
-            Files.readString(path)
-        } catch (_: NoSuchFileException) {
-            throw SettingsException("$path: there is no such file")
-        } catch (e: IOException) {
-            throw SettingsException("$path: cannot be read: ${e.message}")
-        }
-        val settings = try {
-            json.decodeFromString(Settings.serializer(), text)
-        } catch (e: SerializationException) {
-            throw SettingsException("$path: ${e.message?.lineSequence()?.first()}")
-        }
+        val settings = readSettings(path) { json.decodeFromString(Settings.serializer(), it) }
         problem(settings)?.let { throw SettingsException("$path: $it") }
         return settings
     }
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -234,9 +234,8 @@
         val left = (m.recallAt - now.steady) / 1000.0
         for (p in m.placements.values) {
             val job = p.job
-            if (job == null || p.exited || p.stop != Stop.NONE || !(job.standing || job.spec.stirS > 0)) continue
-            p.stop = if (job.spec.stirS > 0 && job.spec.plateS < left) Stop.SAVE_FIRST else Stop.AT_ONCE
-            m.pushWanted = true
+            if (job == null || !p.goesOn || !(job.standing || job.spec.stirS > 0)) continue
+            stop(p, left)
             log.debug("{} leaves {}, which is taken in {} s", p.task, m.name, left)
         }
     }
@@ -363,8 +362,10 @@
 
     /** [p] is provably on its machine no more, and no start of it can arrive. */
     private fun gone(p: Placement) {
-        if (!p.exited) metrics.count("task.lost")
-        if (!p.exited) log.debug("{} try {} is gone from {}", p.task, p.attempt, p.machine.name)
+        if (!p.exited) {
+            metrics.count("task.lost")
+            log.debug("{} try {} is gone from {}", p.task, p.attempt, p.machine.name)
+        }
         p.machine.placements.remove(p.attempt)
         p.job?.free(p)
         dirty = true
@@ -406,7 +407,13 @@
     private fun preempt(p: Placement, by: Job) {
         metrics.count("task.preempted")
         log.debug("{} on {} makes room for {} ({})", p.task, p.machine.name, by.id, by.spec.menu)
-        p.stop = if ((p.job?.spec?.stirS ?: 0.0) > 0) Stop.SAVE_FIRST else Stop.AT_ONCE
+        stop(p)
+    }
+
+    /** Tells [p] to stop, saving first if it can and [left] seconds suffice. */
+    private fun stop(p: Placement, left: Double = Double.MAX_VALUE) {
+        val spec = p.job?.spec
+        p.stop = if (spec != null && spec.stirS > 0 && spec.plateS < left) Stop.SAVE_FIRST else Stop.AT_ONCE
         p.machine.pushWanted = true
     }
 
@@ -432,9 +439,8 @@
 
     fun moveReplicas(m: Machine) {
         for (p in m.placements.values) {
-            if (p.exited || p.stop != Stop.NONE || p.job?.standing != true) continue
-            p.stop = if (p.job.spec.stirS > 0) Stop.SAVE_FIRST else Stop.AT_ONCE
-            m.pushWanted = true
+            if (!p.goesOn || p.job?.standing != true) continue
+            stop(p)
             log.debug("{} moves off {}", p.task, m.name)
         }
     }
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -52,6 +52,9 @@
     var releasing = false
     var releaseSent = false
 
+    /** Serves, and nothing says that it will not go on. */
+    val inService: Boolean get() = confirmed && !releasing && !draining && !retiring
+
     /** Failures in a row by tasks of different jobs. */
     val errorJobs = LinkedHashSet<String>()
     var errorsInRow = 0
--- a/src/main/kotlin/ledgearch/core/Placement.kt
+++ b/src/main/kotlin/ledgearch/core/Placement.kt
@@ -44,6 +44,9 @@
     val exited: Boolean get() = status == TaskStatus.EXITED
     val done: Boolean get() = exited && cause == Causes.DONE
 
+    /** It may be on its machine and has not been told to stop. */
+    val goesOn: Boolean get() = !exited && stop == Stop.NONE
+
     /** Nothing is lost when the worker forgets it. */
     val clearable: Boolean get() = exited && (!done || job == null || job.closed || job.recorded.get(index))
 
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -5,7 +5,6 @@
 import ledgearch.core.Now
 import ledgearch.core.Placement
 import ledgearch.core.Room
-import ledgearch.core.Stop
 import ledgearch.core.TaskStatus
 import ledgearch.core.Teams
 import ledgearch.core.Zones
@@ -24,7 +23,7 @@
     /** Room on a machine once what is being stopped there is gone, less what this pass has promised of it. */
     private class Prospect(val machine: Machine) {
         val room = Room(machine.rack).apply {
-            for (p in machine.placements.values) if (!p.exited && p.stop == Stop.NONE) take(p.job)
+            for (p in machine.placements.values) if (p.goesOn) take(p.job)
         }
     }
 
@@ -80,14 +79,16 @@
 
     /** A less urgent task of the same team, where the team's limit leaves no room for [job]; its place matters not. */
     private fun yielding(job: Job, prospects: List<Prospect>): Pair<Prospect, Placement>? = prospects
-        .flatMap { at -> at.machine.placements.values.map { at to it } }
-        .filter { (_, p) ->
-            val other = p.job
-            other != null && !p.exited && p.stop == Stop.NONE && other.spec.crew == job.spec.crew && other.urgency > job.urgency &&
-                other.spec.vcpus >= job.spec.vcpus && other.spec.accelerators >= job.spec.accelerators
-        }
+        .asSequence()
+        .flatMap { at -> at.machine.placements.values.asSequence().filter { mayYield(job, it) }.map { at to it } }
         .minByOrNull { (_, p) -> cost(p) }
 
+    private fun mayYield(job: Job, p: Placement): Boolean {
+        val other = p.job ?: return false
+        return p.goesOn && other.spec.crew == job.spec.crew && other.urgency > job.urgency &&
+            other.spec.vcpus >= job.spec.vcpus && other.spec.accelerators >= job.spec.accelerators
+    }
+
     /** [sparing]: no task is stopped whose job would miss an aim by that. */
     private fun roomFor(job: Job, guaranteed: Boolean, prospects: List<Prospect>, sparing: Boolean = false): Prospect? =
         prospects.filter { it.room.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) } ?: makeRoom(job, guaranteed, prospects, sparing)
@@ -115,7 +116,7 @@
     private fun victims(job: Job, guaranteed: Boolean, prospect: Prospect, sparing: Boolean): List<Placement>? {
         val room = prospect.room
         val candidates = prospect.machine.placements.values
-            .filter { !it.exited && it.stop == Stop.NONE && it.job != null && mayStop(job, guaranteed, it.job) && !(sparing && missed(it) > 0) }
+            .filter { it.goesOn && it.job != null && mayStop(job, guaranteed, it.job) && !(sparing && missed(it) > 0) }
             .sortedBy { cost(it) }
         val chosen = ArrayList<Placement>()
         for (c in candidates) {
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -298,7 +298,7 @@
     }
 
     private fun returnEmpty(holder: Holder) {
-        val active = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining && !it.retiring }
+        val active = holder.machines.values.filter { it.inService }
         for (m in holder.machines.values.toList()) {
             if (m.draining && m.confirmed && holder.canMoveReplicas(m, active)) holder.moveReplicas(m)
             if ((m.draining || m.retiring) && m.placements.isEmpty() && m.confirmed && !m.releasing) {
@@ -326,16 +326,17 @@
     }
 
     private fun retireOne(holder: Holder, churn: Double): Boolean {
-        val active = holder.machines.values.filter { it.confirmed && !it.releasing && !it.draining && !it.retiring }
+        val active = holder.machines.values.filter { it.inService }
         val capacity = active.sumOf { it.rack.vcpus }
         val used = load.value
         val ordinary = active.sumOf { if (it.borrowed) 0.0 else it.rack.vcpus }
         val reserve = holder.reserve.cpus(churn, bootS())
         val m = active
-            .filter { c -> now.steady - c.knownSince > Tuning.KEEP_MS && holder.canMoveReplicas(c, active) }
+            .filter { c -> now.steady - c.knownSince > Tuning.KEEP_MS }
             .filter { capacity - it.rack.vcpus >= used + reserve }
             .filter { c -> c.borrowed || ordinary - c.rack.vcpus >= ordinaryLoad.value }
             .filter { c -> c.borrowed || active.any { it !== c && !it.borrowed && it.hall == c.hall } }
+            .filter { holder.canMoveReplicas(it, active) }
             .maxWithOrNull(compareBy({ price(it.rack, it.borrowed) }, { -it.usedCpus })) ?: return false
         m.retiring = true
         holder.moveReplicas(m)
