Machine types that lack what a task needs are no longer planned for

Whether a type suits was worked out a second time in the fleet, without accelerators: for a task that needs one the cheapest type was chosen, held nothing of it, and nothing was rented. Room answers it now.

--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -11,6 +11,7 @@
 import ledgearch.core.Machine
 import ledgearch.core.Now
 import ledgearch.core.Placement
+import ledgearch.core.Room
 import ledgearch.core.Transport
 import ledgearch.http.Reply
 import ledgearch.leader.Election
@@ -248,13 +249,6 @@
         for ((pool, count) in planned) if (key(pool) !in renting && bucket.has(1)) rent(pool, count)
     }
 
-    private fun tasksPerMachine(job: Job, rack: Rack): Int {
-        val spec = job.spec
-        val byCpu = if (spec.vcpus > 0) rack.vcpus / spec.vcpus else Double.MAX_VALUE
-        val byMemory = if (spec.memoryGb > 0) rack.memoryGb / spec.memoryGb else Double.MAX_VALUE
-        return minOf(byCpu, byMemory, 1e6).toInt()
-    }
-
     private fun cheapest(need: Demand, planned: Map<Pool, Int>): Pool? {
         val pools = pools(need.job).filter { need.zones.allows(it.hall) && now.steady >= (exhausted[key(it)] ?: Long.MIN_VALUE) }
         return pools.minWithOrNull(compareBy({ it.price }, { p -> booting.values.count { it.pool.hall == p.hall } + (planned[p] ?: 0) }))
@@ -262,7 +256,7 @@
 
     private fun pools(job: Job): List<Pool> {
         return book().racks.values
-            .filter { tasksPerMachine(job, it) > 0 }
+            .filter { Room(it).fits(job) }
             .flatMap { rack -> rack.halls.flatMap { hall -> listOf(Pool(rack, hall, true), Pool(rack, hall, false)) } }
             .filter { settings.operator.spot || !it.borrowed }
             .filter { job.allows(it.rack, it.hall, it.borrowed) }
--- a/src/test/kotlin/ledgearch/world/CloudStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/CloudStandIn.kt
@@ -92,6 +92,7 @@
     companion object {
         const val TYPE = "r8"
         val RACK = Rack(TYPE, 8.0, 0.0, 16.0, 35.0, 0.3, 0.5, 0.2, 10.0, listOf("a", "b"))
-        val CATALOG = Catalog(listOf(RACK))
+        private val WITH_ACCELERATOR = Rack("g8", 8.0, 1.0, 16.0, 35.0, 0.3, 5.0, 2.0, 10.0, listOf("a", "b"))
+        val CATALOG = Catalog(listOf(RACK, WITH_ACCELERATOR))
     }
 }
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -53,7 +53,7 @@
             outside = OutsideAddresses("cloud:1", "state:1"),
             deployment = Deployment(
                 zones = listOf("a", "b"),
-                teams = listOf(Team("red", 8.0, TEAM_MAX), Team("blue", 8.0, TEAM_MAX)),
+                teams = listOf(Team("red", 8.0, TEAM_MAX, gpusMax = 2.0), Team("blue", 8.0, TEAM_MAX)),
                 objectives = listOf(Objective("wait", "web", 1.0, 0.9)),
                 workers = WorkerTimes(reportMs / 1000.0, leaseMs / 1000.0, CANCEL_MS / 1000.0),
                 state = StateLimits(200.0, 60.0, 8.0, 16),
