--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -140,8 +140,14 @@
     /** Share. When more machines than this are silent at once, the fault is on our side: nothing is released. */
     const val SILENT_SHARE = 0.5
 
-    /** Reports. With most machines silent for this many intervals, the holder gives the block up. */
-    const val CUT_REPORTS = 4.5
+    /**
+     * Reports. With most machines silent for this many intervals, the holder gives the block up: late enough for
+     * one lost report, early enough that another holder renews the leases.
+     */
+    const val CUT_REPORTS = 2.2
+
+    /** ms. A gap in the owner's own time that makes all silence look longer than it was. */
+    const val OWN_PAUSE_MS = 700L
 
     /** ms. A machine that refused a start, or a job unknown to its worker, gets the next one after this. */
     const val REFUSED_MS = 1_000L
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -64,6 +64,8 @@
     private var ready = false
     private var allConfirmedLogged = false
     private var dirty = true
+    private var drivenAt = 0L
+    private var wokenAt = 0L
 
     fun begin(token: Long) {
         end()
@@ -466,16 +468,22 @@
     }
 
     private fun watchSilence() {
-        val silent = machines.values.filter { now.steady - it.heardAt > (reportMs * Tuning.LOST_REPORTS).toLong() && !it.releasing }
-        if (silent.isEmpty()) return
-        val listening = machines.values.count { !it.releasing }
-        if (silent.size > 1 && silent.size > listening * Tuning.SILENT_SHARE) {
-            // Most workers at once: the fault is on this node's side, and another may reach them.
-            if (now.steady - maxOf(election.grantedAt, silent.minOf { it.heardAt }) > reportMs * Tuning.CUT_REPORTS) election.giveUp("${silent.size} of $listening machines are silent")
+        // After a pause of our own, reports are still waiting to be read: nobody was silent.
+        if (now.steady - drivenAt > Tuning.OWN_PAUSE_MS) wokenAt = now.steady
+        drivenAt = now.steady
+        val since = maxOf(wokenAt, election.grantedAt)
+        fun silentFor(m: Machine, reports: Double) = now.steady - maxOf(m.heardAt, since) > (reportMs * reports).toLong()
+        val active = machines.values.filter { !it.releasing }
+        val quiet = active.count { silentFor(it, Tuning.CUT_REPORTS) }
+        if (quiet > 1 && quiet > active.size * Tuning.SILENT_SHARE) {
+            // Most workers at once: the fault is on this node's side. Their leases run out unless another, whom
+            // they may reach, takes the block soon.
+            election.giveUp("$quiet of ${active.size} machines are silent")
             return
         }
-        for (m in silent) {
-            if (!fleet.isReleasing(m)) {
+        for (m in machines.values.toList()) {
+            if (!silentFor(m, Tuning.LOST_REPORTS)) continue
+            if (!m.releasing) {
                 log.warn("machine {} is silent for {} ms; it is released", m.name, now.steady - m.heardAt)
                 fleet.release(m)
             }
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -69,8 +69,6 @@
 
     fun isReturned(name: String) = name in returned || name in toRelease
 
-    fun isReleasing(m: Machine) = m.name in toRelease
-
     fun arrived(m: Machine) {
         booting.remove(m.name)
     }
--- /dev/null
+++ b/src/test/kotlin/ledgearch/world/CloudStandIn.kt
@@ -0,0 +1,95 @@
+package ledgearch.world
+
+import ledgearch.http.Reply
+import ledgearch.wire.Catalog
+import ledgearch.wire.ListedStove
+import ledgearch.wire.Rack
+import ledgearch.wire.RentRequest
+import ledgearch.wire.StoveList
+import ledgearch.wire.StoveNames
+import ledgearch.wire.WireJson
+
+/** The cloud by its published protocol: one machine type in two zones. */
+internal class CloudStandIn(private val world: World) {
+    private class Rented(val name: String, val type: String, val hall: String, val borrowed: Boolean, val since: Long, var status: String, val boots: Boolean)
+
+    private val machines = LinkedHashMap<String, Rented>()
+    private val bookings = HashMap<String, List<String>>()
+    private var next = 1
+    var down = false
+    var capacity = 0
+    var bootMs = 10_000L
+    var bootsNever = 0
+
+    fun add(hall: String, borrowed: Boolean): String {
+        val name = newName()
+        machines[name] = Rented(name, TYPE, hall, borrowed, world.clock.now, "running", true)
+        world.bootWorker(name, TYPE, hall, borrowed)
+        return name
+    }
+
+    private fun newName() = "host-" + (next++).toString().padStart(6, '0')
+
+    fun handle(method: String, target: String, body: String?, answer: (Reply) -> Unit) {
+        if (down) return answer(Reply(503, """{"error":"trouble"}"""))
+        val path = target.substringBefore('?')
+        when {
+            path == "/catalog" -> answer(Reply(200, WireJson.encodeToString(Catalog.serializer(), CATALOG)))
+            path == "/hosts/release" -> {
+                for (name in WireJson.decodeFromString(StoveNames.serializer(), body.orEmpty()).stoves) {
+                    machines.remove(name)
+                    world.removeWorker(name)
+                }
+                answer(Reply(200, "{}"))
+            }
+            path == "/hosts" && method == "POST" -> answer(rent(WireJson.decodeFromString(RentRequest.serializer(), body.orEmpty())))
+            path == "/hosts" -> {
+                val listed = machines.values.map {
+                    ListedStove(it.name, "${it.name}:9000", it.type, it.hall, it.borrowed, it.status, (world.clock.now - it.since) / 1000.0)
+                }
+                answer(Reply(200, WireJson.encodeToString(StoveList.serializer(), StoveList(listed))))
+            }
+            else -> answer(Reply(400, "{}"))
+        }
+    }
+
+    private fun rent(request: RentRequest): Reply {
+        val names = bookings[request.booking] ?: run {
+            val room = capacity - machines.size
+            if (room <= 0) return Reply(503, """{"error":"no capacity"}""")
+            List(minOf(room, request.howMany)) { newName() }.onEach { boot(it, request) }
+        }
+        bookings[request.booking] = names
+        return Reply(200, WireJson.encodeToString(StoveNames.serializer(), StoveNames(names)))
+    }
+
+    private fun boot(name: String, request: RentRequest) {
+        val boots = bootsNever-- <= 0
+        val m = Rented(name, request.rack, request.hall, request.borrowed, world.clock.now, "booting", boots)
+        machines[name] = m
+        if (boots) {
+            world.clock.after(bootMs) {
+                if (machines[name] === m) {
+                    m.status = "running"
+                    world.bootWorker(name, m.type, m.hall, m.borrowed)
+                }
+            }
+        }
+    }
+
+    fun died(name: String) {
+        world.clock.after(30_000) { machines[name]?.status = "failed" }
+    }
+
+    fun taken(name: String) {
+        machines.remove(name)
+    }
+
+    val names: Set<String> get() = machines.keys
+
+    companion object {
+        const val TYPE = "r8"
+        val RACK = Rack(TYPE, 8.0, 0.0, 16.0, 35.0, 0.3, 0.5, 0.2, 10.0, listOf("a", "b"))
+        val CATALOG = Catalog(listOf(RACK))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -0,0 +1,123 @@
+package ledgearch.world
+
+import ledgearch.wire.WorkRequest
+
+/**
+ * A scenario in a text file. A line is a time in seconds, a step and its words; `#` begins a comment. Steps of the
+ * world change it; `expect` steps must hold at their time. The rules are checked throughout.
+ */
+internal class Scenario(text: String) {
+    private class Step(val line: Int, val at: Long, val words: List<String>)
+
+    private val steps = ArrayList<Step>()
+    private val options = HashMap<String, String>()
+    private val failures = ArrayList<String>()
+
+    init {
+        text.lineSequence().forEachIndexed { i, raw ->
+            val words = raw.substringBefore('#').trim().split(Regex("\\s+")).filter { it.isNotEmpty() }
+            if (words.isEmpty()) return@forEachIndexed
+            val at = words[0].toDoubleOrNull()
+            if (at == null) options[words[0]] = words.drop(1).joinToString(" ") else steps.add(Step(i + 1, (at * 1000).toLong(), words.drop(1)))
+        }
+        require(steps.any { it.words[0] == "expect" }) { "a scenario must expect something" }
+    }
+
+    /** What went wrong; empty when all is well. */
+    fun play(): List<String> {
+        val world = World(options["nodes"]?.toInt() ?: 1, options["seed"]?.toLong() ?: 1)
+        world.loss = options["loss"]?.toDouble() ?: 0.0
+        world.cloud.capacity = options["capacity"]?.toInt() ?: 0
+        options["machines"].orEmpty().split(' ').filter { it.isNotEmpty() }.forEach { place ->
+            world.cloud.add(place.substringBefore('+'), place.endsWith("+spot"))
+        }
+        world.nodes.forEach { it.start() }
+        steps.forEach { step -> world.clock.at(step.at) { act(world, step) } }
+        world.clock.runUntil(steps.maxOf { it.at } + 6000)
+        return failures + world.rules.violations
+    }
+
+    private fun act(world: World, step: Step) {
+        val w = step.words
+        fun seconds(i: Int) = (w[i].toDouble() * 1000).toLong()
+        fun named(i: Int) = if (w[i] == "holder") holder(world) else w[i]
+        when (w[0]) {
+            "submit" -> world.submit(spec(w.drop(1)))
+            "withdraw" -> world.withdraw(w[1])
+            "crash" -> world.nodes.first { it.name == named(1) }.crash()
+            "crash-all" -> world.nodes.forEach { it.crash() }
+            "start" -> world.nodes.first { it.name == w[1] }.start()
+            "start-all" -> world.nodes.forEach { if (!it.up) it.start() }
+            "cut" -> world.cut(named(1), w[2], seconds(4), w[5] == "hold")
+            "state-down" -> world.state.outage(true)
+            "state-up" -> world.state.outage(false)
+            "cloud-down" -> world.cloud.down = true
+            "cloud-up" -> world.cloud.down = false
+            "never-boots" -> world.cloud.bootsNever = w[1].toInt()
+            "hang" -> world.workers[host(world, w[1])]?.hanging = true
+            "resume" -> world.workers[host(world, w[1])]?.hanging = false
+            "sick" -> world.workers.getValue(host(world, w[1])).sick = true
+            "notice" -> world.workers.getValue(host(world, w[1])).recallAt = world.clock.now + seconds(2)
+            "die" -> host(world, w[1]).let {
+                world.workers.getValue(it).alive = false
+                world.cloud.died(it)
+            }
+            "take" -> host(world, w[1]).let {
+                world.removeWorker(it)
+                world.cloud.taken(it)
+            }
+            "expect" -> expect(world, step)
+            else -> failures.add("line ${step.line}: unknown step ${w[0]}")
+        }
+    }
+
+    private fun holder(world: World) = world.state.field("w/g/0", "node") ?: "none"
+
+    /** A machine's name, or the machine on which a task is: `@job-1/0`. */
+    private fun host(world: World, word: String): String {
+        if (!word.startsWith("@")) return word
+        val portion = word.drop(1)
+        return world.workers.values.firstOrNull { m -> m.tasks.values.any { it.portion == portion && it.status != "exited" } }?.name ?: "nowhere"
+    }
+
+    private fun expect(world: World, step: Step) {
+        val w = step.words
+        fun check(what: String, actual: Any?, holds: Boolean) {
+            if (!holds) failures.add("line ${step.line}: $what: got $actual")
+        }
+        when (w[1]) {
+            "running" -> world.running(w[2]).let { check("running ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
+            "starts" -> world.rules.startsOf(w[2]).let { check("starts ${w[2]} at most ${w[3]}", it, it <= w[3].toInt()) }
+            "finished" -> world.rules.completedOf(w[2]).let { check("finished ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
+            "accepted" -> check("accepted ${w[2]}", false, world.rules.isAccepted(w[2]))
+            "machines" -> world.cloud.names.size.let { check("machines ${w[2]}", it, it == w[2].toInt()) }
+            "gone" -> check("gone ${w[2]}", true, w[2] !in world.cloud.names)
+            "holder" -> holder(world).let { check("holder ${w[2]}", it, if (w[2] == "any") it != "none" else if (w[2].startsWith("not-")) it != "none" && "not-$it" != w[2] else it == w[2]) }
+            "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
+            "up" -> world.ask("GET", "/up", null, w[2]) { check("up ${w[2]} ${w[3]}", it.status, it.status == w[3].toInt()) }
+            "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
+            else -> world.poll(w[1]) { status, state -> check("${w[1]} ${w[2]}", state ?: status, w[2] == (state ?: status.toString())) }
+        }
+    }
+
+    private fun spec(words: List<String>): WorkRequest {
+        val o = words.drop(1).associate { it.substringBefore('=') to it.substringAfter('=') }
+        return WorkRequest(
+            ref = words[0],
+            menu = o["class"] ?: "batch",
+            crew = o["team"] ?: "red",
+            shape = if (o["standing"] == "yes") "standing" else "sweep",
+            urgency = o["urgency"] ?: "normal",
+            portions = o["tasks"]?.toInt() ?: 1,
+            vcpus = o["cpus"]?.toDouble() ?: 2.0,
+            memoryGb = 1.0,
+            hall = o["hall"],
+            samePlace = o["together"] == "yes",
+            apart = o["apart"] == "yes",
+            borrowed = o["spot"] == "yes",
+            recipe = o["image"] ?: "i",
+            sizeGb = 0.3,
+            cookS = o["run"]?.toDouble() ?: 10.0,
+        )
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/world/StateStandIn.kt
@@ -0,0 +1,149 @@
+package ledgearch.world
+
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonPrimitive
+import ledgearch.http.Reply
+import ledgearch.wire.KeyPage
+import ledgearch.wire.KeyValue
+import ledgearch.wire.LeaseReply
+import ledgearch.wire.LeaseRequest
+import ledgearch.wire.News
+import ledgearch.wire.NewsPage
+import ledgearch.wire.Txn
+import ledgearch.wire.TxnReply
+import ledgearch.wire.WireJson
+import java.util.TreeMap
+
+/** The state service by its published protocol, limits on rates aside. */
+internal class StateStandIn(private val clock: Clockwork) {
+    private class Entry(val v: JsonElement, val stamp: Long, val permit: Long?)
+
+    private class Change(val edition: Long, val key: String, val entry: Entry?)
+
+    private class Lease(val lifeMs: Long, var endsAt: Long)
+
+    private val keys = TreeMap<String, Entry>()
+    private val history = ArrayList<Change>()
+    private val leases = HashMap<Long, Lease>()
+    private val watches = ArrayList<Watch>()
+    private var edition = 0L
+    private var nextPermit = 1L
+    var down = false
+        private set
+
+    private class Watch(val prefix: String, val since: Long, val answer: (Reply) -> Unit) {
+        var open = true
+    }
+
+    fun keysUnder(prefix: String): List<String> = keys.tailMap(prefix).keys.takeWhile { it.startsWith(prefix) }
+
+    fun outage(begin: Boolean) {
+        down = begin
+        if (!begin) for (lease in leases.values) lease.endsAt = clock.now + lease.lifeMs
+    }
+
+    fun handle(method: String, target: String, body: String?, answer: (Reply) -> Unit) {
+        if (down) return answer(Reply(503, ""))
+        expireLeases()
+        val path = target.substringBefore('?')
+        val query = target.substringAfter('?', "").split('&').filter { it.isNotEmpty() }.associate { it.substringBefore('=') to it.substringAfter('=') }
+        when {
+            path == "/txn" -> answer(txn(WireJson.decodeFromString(Txn.serializer(), body.orEmpty())))
+            path == "/leases" -> {
+                val life = WireJson.decodeFromString(LeaseRequest.serializer(), body.orEmpty()).lifeMs
+                leases[nextPermit] = Lease(life, clock.now + life)
+                clock.after(life + 1) { expireLeases() }
+                answer(Reply(200, WireJson.encodeToString(LeaseReply.serializer(), LeaseReply(nextPermit++))))
+            }
+            path.startsWith("/leases/") -> {
+                val lease = leases[path.split('/')[2].toLong()]
+                if (lease != null) {
+                    lease.endsAt = clock.now + lease.lifeMs
+                    clock.after(lease.lifeMs + 1) { expireLeases() }
+                }
+                answer(Reply(if (lease == null) 404 else 200, "{}"))
+            }
+            path == "/changes" -> watch(query.getValue("under"), query.getValue("since").toLong(), query["blockMs"]?.toLong() ?: 0, answer)
+            path == "/keys" -> answer(page(query.getValue("under"), query["since"], query["limit"]?.toInt() ?: 1000))
+            method == "GET" && path.startsWith("/keys/") -> answer(get(path.removePrefix("/keys/")))
+            else -> answer(Reply(400, "{}"))
+        }
+    }
+
+    private fun get(key: String): Reply {
+        val e = keys[key] ?: return Reply(404, """{"edition":$edition}""")
+        return Reply(200, WireJson.encodeToString(KeyValue.serializer(), KeyValue(key, e.v, e.stamp, e.permit)))
+    }
+
+    private fun page(prefix: String, since: String?, limit: Int): Reply {
+        val all = keysUnder(prefix).filter { since == null || it > since }
+        val pairs = all.take(limit).map { KeyValue(it, keys.getValue(it).v, keys.getValue(it).stamp) }
+        return Reply(200, WireJson.encodeToString(KeyPage.serializer(), KeyPage(pairs, all.size > limit, edition)))
+    }
+
+    private fun txn(txn: Txn): Reply {
+        val failed = txn.`if`.filter { (keys[it.key]?.stamp ?: 0) != it.stamp }.map { it.key }
+        if (txn.then.any { it.permit != null && it.permit !in leases }) return Reply(400, """{"error":"no such lease"}""")
+        if (failed.isNotEmpty()) return Reply(409, WireJson.encodeToString(TxnReply.serializer(), TxnReply(edition, failed)))
+        if (txn.then.isNotEmpty()) {
+            edition++
+            for (c in txn.then) {
+                val put = c.put
+                val remove = c.remove
+                if (put != null) set(put, Entry(c.v ?: JsonPrimitive(0), edition, c.permit)) else if (remove != null) set(remove, null)
+            }
+            wake()
+        }
+        return Reply(200, WireJson.encodeToString(TxnReply.serializer(), TxnReply(edition)))
+    }
+
+    private fun set(key: String, entry: Entry?) {
+        if (entry == null && key !in keys) return
+        if (entry == null) keys.remove(key) else keys[key] = entry
+        history.add(Change(edition, key, entry))
+    }
+
+    private fun expireLeases() {
+        if (down) return
+        val ended = leases.filterValues { it.endsAt < clock.now }.keys
+        if (ended.isEmpty()) return
+        leases.keys.removeAll(ended)
+        val gone = keys.filterValues { it.permit in ended }.keys.toList()
+        if (gone.isEmpty()) return
+        edition++
+        gone.forEach { set(it, null) }
+        wake()
+    }
+
+    private fun watch(prefix: String, since: Long, blockMs: Long, answer: (Reply) -> Unit) {
+        val w = Watch(prefix, since, answer)
+        if (tryAnswer(w)) return
+        watches.add(w)
+        clock.after(blockMs) {
+            if (w.open && !down) finish(w, emptyList())
+        }
+    }
+
+    private fun wake() = watches.toList().forEach { tryAnswer(it) }
+
+    private fun tryAnswer(w: Watch): Boolean {
+        val news = history.filter { it.edition > w.since && it.key.startsWith(w.prefix) }
+        if (news.isEmpty()) return false
+        finish(w, news)
+        return true
+    }
+
+    private fun finish(w: Watch, changes: List<Change>) {
+        w.open = false
+        watches.remove(w)
+        val news = changes.map { if (it.entry != null) News(put = it.key, v = it.entry.v, stamp = it.edition) else News(remove = it.key, stamp = it.edition) }
+        w.answer(Reply(200, WireJson.encodeToString(NewsPage.serializer(), NewsPage(edition, news))))
+    }
+
+    /** A field of a stored value, for expectations. */
+    fun field(key: String, name: String): String? = ((keys[key]?.v as? JsonObject)?.get(name))?.jsonPrimitive?.content
+
+    fun stamp(key: String): Long = keys[key]?.stamp ?: 0
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/world/WorkerStandIn.kt
@@ -0,0 +1,184 @@
+package ledgearch.world
+
+import ledgearch.http.Reply
+import ledgearch.wire.CheckIn
+import ledgearch.wire.CheckInReply
+import ledgearch.wire.Misdirected
+import ledgearch.wire.Order
+import ledgearch.wire.OrdersRequest
+import ledgearch.wire.PortionReport
+import ledgearch.wire.Verbs
+import ledgearch.wire.WireJson
+
+/** A machine with its worker, by the published protocol. */
+internal class WorkerStandIn(private val world: World, val name: String, val type: String, val hall: String, val borrowed: Boolean) {
+    class Task(val portion: String, val attempt: Long) {
+        var status = "fetching"
+        var cause: String? = null
+        val here: Boolean get() = status == "running" || status == "saving"
+    }
+
+    private val clock get() = world.clock
+    val endpoint = "$name:9000"
+    val tasks = LinkedHashMap<Long, Task>()
+    var shift = 1L
+        private set
+    private var ticket = 0L
+    private var baton = 0L
+    private var target = 0
+    private var waitingSince = -1L
+    private var reportSeq = 0L
+    private var lastAnswered = clock.now
+    private var lastReport = Long.MIN_VALUE / 2
+    private var changed = false
+    var alive = true
+    var hanging = false
+    var sick = false
+    var recallAt = 0L
+    var silentlyGone = false
+
+    fun boot() {
+        lastAnswered = clock.now
+        tick()
+    }
+
+    private fun tick() {
+        if (!alive) return
+        // A frozen worker whose lease has run out can do nothing before it has killed its tasks.
+        if (clock.now - lastAnswered > world.leaseMs) newSession()
+        if (!hanging) {
+            val due = clock.now - lastReport >= world.reportMs || (changed && clock.now - lastReport >= 500)
+            if (waitingSince < 0 && due) report()
+            if (waitingSince >= 0 && clock.now - waitingSince >= 4000) nextNode(1000)
+        }
+        clock.after(100) { tick() }
+    }
+
+    private fun newSession() {
+        if (tasks.isNotEmpty()) world.notes.add("${clock.now} $name lease ended with ${tasks.size} tasks")
+        tasks.clear()
+        shift++
+        lastAnswered = clock.now
+        reportSeq++
+        waitingSince = -1
+        changed = true
+    }
+
+    private fun snapshot() = CheckIn(
+        name, endpoint, type, hall, borrowed, shift, ++ticket, baton,
+        if (recallAt > 0) (recallAt - clock.now) / 1000.0 else null,
+        tasks.values.map { PortionReport(it.portion, it.attempt, it.status, it.cause) },
+    )
+
+    private fun report() {
+        val seq = ++reportSeq
+        val sentAt = clock.now
+        val session = shift
+        waitingSince = sentAt
+        lastReport = sentAt
+        changed = false
+        val node = world.nodes[target % world.nodes.size]
+        val body = WireJson.encodeToString(CheckIn.serializer(), snapshot())
+        world.send(name, node.name, "POST", "/checkin", body) { reply ->
+            if (!alive || hanging || seq != reportSeq || session != shift) return@send
+            when (reply.status) {
+                200 -> {
+                    waitingSince = -1
+                    val answer = WireJson.decodeFromString(CheckInReply.serializer(), reply.body)
+                    if (answer.baton >= baton) {
+                        if (answer.baton > baton) changed = true
+                        baton = answer.baton
+                        lastAnswered = sentAt
+                        answer.orders.forEach(::execute)
+                    }
+                }
+                421 -> {
+                    val chef = WireJson.decodeFromString(Misdirected.serializer(), reply.body).chef
+                    val at = world.nodes.indexOfFirst { it.name == chef }
+                    if (at >= 0 && at != target % world.nodes.size) {
+                        target = at
+                        waitingSince = -1
+                        lastReport = Long.MIN_VALUE / 2
+                    } else {
+                        nextNode(1000)
+                    }
+                }
+                else -> nextNode(1000)
+            }
+        }
+    }
+
+    private fun nextNode(delay: Long) {
+        target++
+        reportSeq++
+        waitingSince = -1
+        lastReport = clock.now - world.reportMs + delay
+    }
+
+    fun handle(method: String, path: String, body: String?, answer: (Reply) -> Unit) {
+        if (!alive) return
+        if (hanging) {
+            // A frozen machine works its mail off when it goes on.
+            clock.after(200) { handle(method, path, body, answer) }
+            return
+        }
+        if (path == "/show") return answer(Reply(200, WireJson.encodeToString(CheckIn.serializer(), snapshot())))
+        val request = WireJson.decodeFromString(OrdersRequest.serializer(), body.orEmpty())
+        val valid = request.baton >= baton && request.shift == shift
+        if (valid) {
+            baton = maxOf(baton, request.baton)
+            request.orders.forEach(::execute)
+        }
+        answer(Reply(if (valid) 200 else 409, WireJson.encodeToString(CheckIn.serializer(), snapshot())))
+    }
+
+    private fun execute(order: Order) {
+        val task = tasks[order.`try`]
+        when (order.verb) {
+            Verbs.START -> if (task == null) start(order)
+            Verbs.HALT -> if (task != null && task.status != "exited") exit(task, "halted")
+            Verbs.CLEAR -> if (task != null && task.status == "exited") {
+                tasks.remove(order.`try`)
+                changed = true
+            }
+        }
+    }
+
+    private fun start(order: Order) {
+        val task = Task(order.portion, order.`try`)
+        val busy = tasks.values.any { it.portion == order.portion && it.status != "exited" }
+        tasks[task.attempt] = task
+        changed = true
+        world.rules.commanded(this, task)
+        if (busy) return exit(task, "busy")
+        if (sick) return exit(task, "error")
+        if (!world.rules.fits(this, task)) return exit(task, "full")
+        val session = shift
+        clock.after(world.fetchMs) { whenFree(task, session) { begin(task, session) } }
+    }
+
+    private fun begin(task: Task, session: Long) {
+        if (world.rules.resultKept(task.portion)) return exit(task, "done")
+        task.status = "running"
+        changed = true
+        world.rules.started(this, task)
+        val run = world.runMs(task.portion) ?: return
+        clock.after(run) {
+            whenFree(task, session) {
+                world.rules.completed(task.portion)
+                exit(task, "done")
+            }
+        }
+    }
+
+    private fun whenFree(task: Task, session: Long, action: () -> Unit) {
+        if (!alive || shift != session || tasks[task.attempt] !== task || task.status == "exited") return
+        if (hanging) clock.after(200) { whenFree(task, session, action) } else action()
+    }
+
+    private fun exit(task: Task, why: String) {
+        task.status = "exited"
+        task.cause = why
+        changed = true
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -0,0 +1,218 @@
+package ledgearch.world
+
+import ledgearch.config.CloudLimits
+import ledgearch.config.Deployment
+import ledgearch.config.Member
+import ledgearch.config.Objective
+import ledgearch.config.OutsideAddresses
+import ledgearch.config.Settings
+import ledgearch.config.StateLimits
+import ledgearch.config.Team
+import ledgearch.config.WorkerTimes
+import ledgearch.core.Command
+import ledgearch.core.Controller
+import ledgearch.core.Transport
+import ledgearch.http.Reply
+import ledgearch.http.Request
+import ledgearch.http.Response
+import ledgearch.wire.WireJson
+import ledgearch.wire.WorkRequest
+import ledgearch.wire.WorkStatus
+import kotlin.random.Random
+
+/** Controllers, stand-ins of everything around them and a network between, all on one simulated clock. */
+internal class World(nodeCount: Int, seed: Long) {
+    val clock = Clockwork()
+    val random = Random(seed)
+    val rules = Rules(this)
+    val state = StateStandIn(clock)
+    val cloud = CloudStandIn(this)
+    val workers = LinkedHashMap<String, WorkerStandIn>()
+    val notes = ArrayList<String>()
+    val reportMs = 3000L
+    val leaseMs = 14_000L
+    val fetchMs = 1000L
+    val nodes = List(nodeCount) { Node("n${it + 1}", nodeCount) }
+
+    /** Share of messages that are lost, each way. */
+    var loss = 0.0
+
+    private class Cut(val a: String, val b: String, val until: Long, val hold: Boolean)
+
+    private val cuts = ArrayList<Cut>()
+
+    inner class Node(val name: String, nodeCount: Int) {
+        private val settings = Settings(
+            node = name,
+            listen = "$name:8080",
+            meshAddress = "$name:8081",
+            members = (1..nodeCount).map { "n$it" }.filter { it != name }.map { Member(it, addr = "$it:8081") },
+            outside = OutsideAddresses("cloud:1", "state:1"),
+            deployment = Deployment(
+                zones = listOf("a", "b"),
+                teams = listOf(Team("red", 8.0, TEAM_MAX), Team("blue", 8.0, TEAM_MAX)),
+                objectives = listOf(Objective("wait", "web", 1.0, 0.9)),
+                workers = WorkerTimes(reportMs / 1000.0, leaseMs / 1000.0, CANCEL_MS / 1000.0),
+                state = StateLimits(200.0, 60.0, 8.0, 16),
+                cloud = CloudLimits(2.0, 3.0),
+            ),
+        )
+        private var life = 0
+        private var controller: Controller? = null
+        val up: Boolean get() = controller != null
+
+        fun start() {
+            val mine = ++life
+            controller = Controller(settings, NodeTransport(mine), Random(random.nextLong()), random.nextLong(Long.MAX_VALUE))
+            tick(mine)
+        }
+
+        fun crash() {
+            life++
+            controller = null
+        }
+
+
+        private fun tick(mine: Int) {
+            if (mine != life) return
+            run(Command.Tick)
+            clock.after(50) { tick(mine) }
+        }
+
+        private fun run(command: Command) {
+            controller?.run(clock.now, WALL + clock.now, listOf(command))
+        }
+
+        /** As the load balancer sees it. */
+        val healthy: Boolean get() {
+            var status = 0
+            serve("GET", "/up", null) { status = it.status }
+            return status == 200
+        }
+
+        fun serve(method: String, target: String, body: String?, answer: (Reply) -> Unit) {
+            if (!up) return answer(Reply.NONE)
+            run(Command.Serve(Request(method, target, body.orEmpty(), true)) { r: Response -> answer(Reply(r.status, r.body)) })
+        }
+
+        private inner class NodeTransport(private val mine: Int) : Transport {
+            override fun call(address: String, method: String, target: String, body: String?, timeoutMs: Long, done: (Reply) -> Unit) {
+                var answered = false
+                fun finish(reply: Reply) {
+                    if (answered || mine != life) return
+                    answered = true
+                    run(Command.Answered(reply, done))
+                }
+                clock.after(timeoutMs) { finish(Reply.NONE) }
+                send(name, address.substringBefore(':'), method, target, body) { finish(it) }
+            }
+        }
+    }
+
+    /** One message and its answer; either may be late or lost. */
+    fun send(from: String, to: String, method: String, target: String, body: String?, answer: (Reply) -> Unit) {
+        deliver(from, to) {
+            handle(to, method, target, body) { reply -> deliver(to, from) { answer(reply) } }
+        }
+    }
+
+    private fun deliver(from: String, to: String, action: () -> Unit) {
+        if (loss > 0 && random.nextDouble() < loss) return
+        val cut = cuts.firstOrNull { it.until > clock.now && ((matches(it.a, from) && matches(it.b, to)) || (matches(it.b, from) && matches(it.a, to))) }
+        if (cut != null && !cut.hold) return
+        val at = (cut?.until ?: clock.now) + 2 + random.nextLong(8)
+        clock.at(at, action)
+    }
+
+    private fun matches(pattern: String, name: String) = pattern == name ||
+        (pattern == "workers" && name.startsWith("host-")) ||
+        (pattern == "all" && name != "user")
+
+    fun cut(a: String, b: String, until: Long, hold: Boolean) {
+        cuts.add(Cut(a, b, until, hold))
+    }
+
+    private fun handle(to: String, method: String, target: String, body: String?, answer: (Reply) -> Unit) {
+        when (to) {
+            "state" -> state.handle(method, target, body, answer)
+            "cloud" -> cloud.handle(method, target, body, answer)
+            else -> {
+                val node = nodes.firstOrNull { it.name == to }
+                if (node != null) node.serve(method, target, body, answer) else workers[to]?.handle(method, target, body, answer)
+            }
+        }
+    }
+
+    // --- Machines -----------------------------------------------------------------------------------------------
+
+    fun bootWorker(name: String, type: String, hall: String, borrowed: Boolean) {
+        workers[name] = WorkerStandIn(this, name, type, hall, borrowed).also { it.boot() }
+    }
+
+    fun removeWorker(name: String) {
+        workers.remove(name)?.let {
+            it.alive = false
+            it.tasks.clear()
+        }
+    }
+
+    fun runMs(portion: String): Long? {
+        val spec = rules.submitted.getValue(portion.substringBefore('/'))
+        return if (spec.shape == "standing") null else (spec.cookS * 1000).toLong()
+    }
+
+    fun running(job: String) = workers.values.filter { it.alive }.sumOf { w -> w.tasks.values.count { it.status == "running" && it.portion.substringBefore('/') == job } }
+
+    // --- Users --------------------------------------------------------------------------------------------------
+
+    fun submit(spec: WorkRequest) {
+        rules.submitted[spec.ref] = spec
+        val until = clock.now + 60_000
+        fun attempt() {
+            ask("POST", "/work", WireJson.encodeToString(WorkRequest.serializer(), spec)) { reply ->
+                rules.submitAnswered(spec.ref, reply.status)
+                if (reply.status != 200 && reply.status != 201 && reply.status != 400 && reply.status != 422 && clock.now < until) clock.after(1000) { attempt() }
+            }
+        }
+        attempt()
+    }
+
+    fun withdraw(job: String) {
+        rules.cancelAsked(job)
+        val until = clock.now + 60_000
+        fun attempt() {
+            ask("POST", "/work/$job/withdraw", "") { reply ->
+                rules.told(job, reply.status, stateIn(reply))
+                if (reply.status != 200 && reply.status != 404 && clock.now < until) clock.after(1000) { attempt() }
+            }
+        }
+        attempt()
+    }
+
+    fun poll(job: String, node: String? = null, answer: (Int, String?) -> Unit) {
+        ask("GET", "/work/$job", null, node) { reply ->
+            rules.told(job, reply.status, stateIn(reply))
+            answer(reply.status, stateIn(reply))
+        }
+    }
+
+    private fun stateIn(reply: Reply) = if (reply.status == 200) WireJson.decodeFromString(WorkStatus.serializer(), reply.body).status else null
+
+    fun ask(method: String, target: String, body: String?, node: String? = null, answer: (Reply) -> Unit) {
+        val live = nodes.filter { if (node == null) it.healthy else it.name == node && it.up }
+        var answered = false
+        fun finish(reply: Reply) {
+            if (answered) return
+            answered = true
+            answer(reply)
+        }
+        clock.after(5000) { finish(Reply.NONE) }
+        if (live.isNotEmpty()) send("user", live[random.nextInt(live.size)].name, method, target, body) { finish(it) }
+    }
+
+    companion object {
+        const val TEAM_MAX = 24.0
+        const val CANCEL_MS = 39_000L
+        private const val WALL = 1_700_000_000_000L
+    }
+}
