--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -80,6 +80,15 @@
     /** Bytes. Planned size of one transaction: the service takes 64 KiB. */
     const val TXN_BYTES = 48 * 1024
 
+    /** Bytes. What one machine takes of a record of several, with the longest names. */
+    const val MACHINE_RECORD_BYTES = 160
+
+    /** Machines. In one record; a rental brings up to 50, and each that goes has the rest written again. */
+    const val MACHINES_A_RECORD = 40
+
+    /** ms. Between two records of one job's finished tasks: what is lost with one is on the machines' lists. */
+    const val PROGRESS_MS = 5_000L
+
     /** ms. Pause after a refused or unanswered state request. */
     const val STATE_RETRY_MS = 250L
 
@@ -199,6 +208,18 @@
     const val BAD_JOB_MS = 5_000L
     const val BAD_JOB_MAX_MS = 60_000L
 
+    /** Probes under way at one time: more would time out here, on a small share of a processor, and prove nothing. */
+    const val PROBES_AT_ONCE = 48
+
+    /** Reports in a row that show nothing of what the answers before them told: one may have been lost. */
+    const val UNTAKEN_ANSWERS = 2
+
+    /** ms. Between two looks for silent machines: a fraction of a report interval. */
+    const val WATCH_SILENCE_MS = 250L
+
+    /** ms. Between two countings of machine hours. */
+    const val COUNT_MS = 1_000L
+
     // --- Placement --------------------------------------------------------------------------------------------
     /** Bound, unstarted tasks. TH_u: at most this many is underloaded. */
     const val TH_U = 0
@@ -212,6 +233,13 @@
     /** Machines. The paper finds 10 to 15 enough for any size of system. */
     const val BUDDIES = 10
 
+    /** ms. Between two passes of placement, and while commands wait: starts are asked for within a second. */
+    const val PASS_MS = 40L
+    const val BEHIND_PASS_MS = 200L
+
+    /** ms. A pass when nothing was seen to change, since time alone may open a way. */
+    const val IDLE_PASS_MS = 250L
+
     // --- Fleet ------------------------------------------------------------------------------------------------
     /** ms. Between two readings of the machine list. */
     const val LIST_MS = 4_000L
@@ -250,7 +278,7 @@
     const val MAX_MACHINES = 100_000
 
     /** Machines. Planned at one time; the need is looked at again before more. */
-    const val RENT_AT_ONCE = 40
+    const val RENT_AT_ONCE = 200
 
     /** Factor on the cheapest price from which a machine is dear: waiting a little is better than renting it. */
     const val DEAR = 2.0
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -75,7 +75,7 @@
             batch.add(queue.receive())
             while (batch.size < Tuning.BATCH) batch.add(queue.tryReceive().getOrNull() ?: break)
             try {
-                controller.run(System.nanoTime() / 1_000_000, System.currentTimeMillis(), batch)
+                controller.run(System.nanoTime() / 1_000_000, System.currentTimeMillis(), batch, behind = batch.size == Tuning.BATCH)
             } catch (e: RuntimeException) {
                 // One bad message must not end the service; whoever sent it gets no answer and comes back.
                 log.error("a command failed", e)
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -51,9 +51,10 @@
     private val state = StateClient(settings.outside.state, settings.deployment.state, settings.members.size + 1, metered, now)
     private val book = Book(state, now, BookEvents())
     private val election: Election = Election(node, life, state, { book }, now, random, ElectionEvents())
-    private val journal = Journal(state, election, book, now)
+    private val journal = Journal(state, election, book, now, (settings.deployment.state.valueKb * 1024).toInt())
+    private val own = OwnTime(now)
     private val fleet: Fleet = Fleet(settings, metered, { election }, { book }, now, { journal })
-    private val holder = Holder(settings, state, metered, election, book, now, journal, fleet, metrics)
+    private val holder = Holder(settings, state, metered, election, book, now, journal, fleet, metrics, own)
     private val intake = Intake(settings, book, state, GrantEvents(), now)
 
     private var publishAt = 0L
@@ -63,17 +64,18 @@
         journal.onClosed = { job, record -> book.rememberFinal(job.id, record) }
     }
 
-    /** One batch: all commands, then whatever follows from them. */
-    fun run(steadyMs: Long, wallMs: Long, commands: List<Command>) {
+    /** One batch: all commands, then whatever follows from them. [behind]: more commands wait already. */
+    fun run(steadyMs: Long, wallMs: Long, commands: List<Command>, behind: Boolean = false) {
         now.steady = steadyMs
         now.wall = wallMs
+        own.behind = behind
         for (command in commands) {
             when (command) {
                 is Command.Serve -> serve(command.request, command.respond)
                 is Command.Answered -> command.done(command.reply)
                 is Command.News -> command.progress.forEach { book.jobs[it.job]?.shown = it }
                 is Command.PeerRefused -> members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
-                Command.Tick -> Unit
+                Command.Tick -> own.ticked()
             }
         }
         book.drive()
@@ -92,7 +94,7 @@
         val all = mesh.joined != publishedTo
         publishedTo = mesh.joined
         val news = book.jobs.values.mapNotNull { job ->
-            val p = Progress(job.id, job.finished.cardinality(), job.runningCount)
+            val p = Progress(job.id, job.finishedCount, job.runningCount)
             if (!all && p == job.shown) null else p.also { job.shown = it }
         }
         // Empty frames too: they show that this node lives.
@@ -122,25 +124,26 @@
     private fun healthy() = book.loaded && book.racks.isNotEmpty() && now.steady - state.lastAnswer < Tuning.STATE_SILENT_MS
 
     private fun checkIn(body: String, respond: (Response) -> Unit) {
+        if (!election.holding) return respond(elsewhere())
         val report = try {
             WireJson.decodeFromString(CheckIn.serializer(), body)
         } catch (e: IllegalArgumentException) {
             respond(Intake.error(400, "not a report"))
             return
         }
-        val orders = if (election.holding) holder.report(report) else null
-        if (orders != null) {
-            respond(Response(200, WireJson.encodeToString(CheckInReply.serializer(), CheckInReply(election.token, orders))))
-            return
-        }
+        val orders = holder.report(report) ?: return respond(elsewhere())
+        respond(Response(200, WireJson.encodeToString(CheckInReply.serializer(), CheckInReply(election.token, orders))))
+    }
+
+    private fun elsewhere(): Response {
         val other = book.grant?.node
-        if (other != null && other != node) {
-            respond(Response(421, WireJson.encodeToString(Misdirected.serializer(), Misdirected(other))))
-        } else {
-            respond(Intake.error(503, "no holder is known"))
-        }
+        if (other == null || other == node) return Intake.error(503, "no holder is known")
+        return Response(421, WireJson.encodeToString(Misdirected.serializer(), Misdirected(other)))
     }
 
+    /** Whether the counts kept of machines and teams are those of a recount. */
+    fun countsHold() = !election.holding || holder.countsHold()
+
     private inner class BookEvents : BookListener {
         override fun grantChanged() {
             election.grantChanged()
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/Courier.kt
@@ -0,0 +1,164 @@
+package ledgearch.core
+
+import kotlinx.serialization.SerializationException
+import ledgearch.Tuning
+import ledgearch.http.Reply
+import ledgearch.leader.Election
+import ledgearch.wire.CheckIn
+import ledgearch.wire.Order
+import ledgearch.wire.OrdersRequest
+import ledgearch.wire.Verbs
+import ledgearch.wire.WireJson
+import org.slf4j.LoggerFactory
+
+/** What the holder has to say to its machines: orders in answers to reports, and direct commands. */
+internal class Courier(
+    private val transport: Transport,
+    private val election: Election,
+    private val now: Now,
+    private val own: OwnTime,
+    private val isHere: (Machine) -> Boolean,
+    private val heard: (Machine, CheckIn) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("ledgearch.core")
+
+    /** Machines with news to be sent directly, and those that may have got a start whose answer was lost. */
+    private val wanted = LinkedHashSet<Machine>()
+    private val lossy = LinkedHashSet<Machine>()
+
+    /** Machines that a direct command did not reach: none is sent before the machine is reached again. */
+    val broken = LinkedHashSet<Machine>()
+    private var probesOpen = 0
+
+    /** Changes with every tenure: answers to an earlier one's calls mean nothing here. */
+    private var tenure = 0
+
+    fun clear() {
+        tenure++
+        wanted.clear()
+        lossy.clear()
+        broken.clear()
+        probesOpen = 0
+    }
+
+    fun want(m: Machine) {
+        wanted.add(m)
+    }
+
+    fun forget(m: Machine) {
+        wanted.remove(m)
+        lossy.remove(m)
+        broken.remove(m)
+    }
+
+    /** Everything the worker should still be told; each order may be repeated without harm until it shows. */
+    fun orders(m: Machine): List<Order> {
+        if (!m.durable || !m.confirmed) return emptyList()
+        val halts = ArrayList<Order>()
+        val starts = ArrayList<Order>()
+        for (p in m.placements.values) {
+            when {
+                p.exited -> if (p.clearable && p.settled(m.reportTicket)) halts.add(Order(Verbs.CLEAR, p.task, p.attempt))
+                p.stop != Stop.NONE -> {
+                    val grace = if (p.stop == Stop.SAVE_FIRST) p.job?.spec?.plateS ?: 0.0 else 0.0
+                    if (p.status != TaskStatus.SAVING || grace == 0.0) halts.add(Order(Verbs.HALT, p.task, p.attempt, grace))
+                }
+                !p.seen -> starts.add(Order(Verbs.START, p.task, p.attempt))
+            }
+        }
+        return halts + starts
+    }
+
+    fun drive() {
+        if (wanted.isNotEmpty()) {
+            val ready = wanted.filter { !it.pushing && !it.pushBroken && it.durable && it.confirmed && !it.releaseSent }
+            for (m in ready) {
+                wanted.remove(m)
+                push(m)
+            }
+        }
+        lossy.removeIf { m -> m.placements.values.none { it.lostToken != 0L } }
+        if (lossy.any { !it.pushBroken }) election.bump()
+    }
+
+    /** The machine took what it was sent. */
+    fun reached(m: Machine) {
+        m.untaken = 0
+        m.probesFailed = 0
+        m.pushBroken = false
+        m.brokenSince = 0L
+        broken.remove(m)
+    }
+
+    /** What was sent to the machine did not show: nothing new is given to it until it is reached. */
+    fun missed(m: Machine) {
+        m.pushBroken = true
+        if (m.brokenSince == 0L) m.brokenSince = now.steady
+        broken.add(m)
+    }
+
+    private fun push(m: Machine) {
+        val list = orders(m)
+        if (list.isEmpty()) return
+        val started = list.filter { it.verb == Verbs.START }.mapNotNull { m.placements.get(it.`try`) }
+        started.forEach { it.pushOpen = true }
+        m.pushing = true
+        val token = election.token
+        val sentAt = now.steady
+        direct(m, list, Tuning.PUSH_MS) { answer ->
+            m.pushing = false
+            for (p in started) {
+                p.pushOpen = false
+                if (answer == null && m.baton <= token) {
+                    p.lostToken = token
+                    lossy.add(m)
+                }
+            }
+            // A time-out of our own, while this node was behind with its work, says nothing about the machine.
+            if (answer == null && own.lateAt < sentAt) missed(m)
+            answer?.let { heard(m, it) }
+        }
+    }
+
+    /** [done] gets the machine's report, or null when it did not answer. */
+    private fun direct(m: Machine, list: List<Order>, timeoutMs: Long, done: (CheckIn?) -> Unit) {
+        val mine = tenure
+        val body = WireJson.encodeToString(OrdersRequest.serializer(), OrdersRequest(election.token, maxOf(m.shift, 1L), list))
+        transport.call(m.endpoint, "POST", "/orders", body, timeoutMs) { reply ->
+            if (tenure != mine || !isHere(m)) return@call
+            val answer = if (reply.status == 200 || reply.status == 409) parse(reply)?.takeIf { it.stove == m.name } else null
+            if (answer != null) reached(m)
+            done(answer)
+        }
+    }
+
+    /**
+     * Shows the token to a machine that is not known to follow it, or asks one that is overdue for a sign of life. If
+     * its session is another than the one known here, its answer tells which, and the token is shown once more.
+     */
+    fun probe(m: Machine, again: Boolean = false) {
+        if (m.pushing || (!again && (now.steady < m.probeAt || probesOpen >= Tuning.PROBES_AT_ONCE))) return
+        m.pushing = true
+        m.probeAt = now.steady + Tuning.PROBE_MS
+        probesOpen++
+        val sentAt = now.steady
+        val session = m.shift
+        direct(m, emptyList(), Tuning.PROBE_MS) { answer ->
+            m.pushing = false
+            probesOpen--
+            if (answer == null) {
+                if (own.lateAt < sentAt) m.probesFailed++
+                return@direct
+            }
+            heard(m, answer)
+            if (isHere(m) && !m.confirmed && m.shift != session) probe(m, again = true)
+        }
+    }
+
+    private fun parse(reply: Reply): CheckIn? = try {
+        WireJson.decodeFromString(CheckIn.serializer(), reply.body)
+    } catch (e: SerializationException) {
+        log.warn("a worker's answer makes no sense: {}", e.message)
+        null
+    }
+}
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -9,7 +9,6 @@
 import ledgearch.core.placement.Reliability
 import ledgearch.fleet.Fleet
 import ledgearch.fleet.Reserve
-import ledgearch.http.Reply
 import ledgearch.leader.Election
 import ledgearch.state.Lane
 import ledgearch.state.ReadResult
@@ -18,13 +17,10 @@
 import ledgearch.wire.CheckIn
 import ledgearch.wire.KeyValue
 import ledgearch.wire.Order
-import ledgearch.wire.OrdersRequest
 import ledgearch.wire.PortionReport
 import ledgearch.wire.PortionStates
 import ledgearch.wire.Verbs
-import ledgearch.wire.WireJson
 import ledgearch.wire.WorkStates
-import kotlinx.serialization.SerializationException
 import org.slf4j.LoggerFactory
 
 /**
@@ -41,11 +37,9 @@
     private val journal: Journal,
     private val fleet: Fleet,
     private val metrics: Metrics,
+    private val own: OwnTime,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
-    private val times = settings.deployment.workers
-    private val reportMs = (times.reportS * 1000).toLong()
-    private val leaseMs = (times.leaseS * 1000).toLong()
 
     val machines = LinkedHashMap<String, Machine>()
     val teams = Teams(settings.deployment.teams)
@@ -54,6 +48,8 @@
     val reliability = Reliability(estimates)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
     private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, ::start)
+    private val courier = Courier(transport, election, now, own, { machines[it.name] === it }, ::answered)
+    private val silence = Silence(settings.deployment.workers, machines, election, courier, fleet, reliability, now, own) { newSession(it, it.shift + 1) }
 
     /** The first token of this tenure: a worker that has seen it no longer follows any earlier holder. */
     private var tenure = 0L
@@ -67,13 +63,22 @@
     private var ready = false
     private var allConfirmedLogged = false
     private var dirty = true
-    private var drivenAt = 0L
-    private var wokenAt = 0L
+    private var passAt = Long.MIN_VALUE / 2
+    private var countedAt = 0L
+    private var guaranteesDirty = true
+
+    /** Machines whose worker has not confirmed the token, and jobs whose users have cancelled them. */
+    private val unconfirmed = LinkedHashSet<Machine>()
+    private val cancelled = LinkedHashSet<Job>()
 
     fun begin(token: Long) {
         end()
         tenure = token
-        for (job in book.jobs.values) job.trusted = job.stamp > tenure && !job.record.cancel
+        for (job in book.jobs.values) {
+            job.trusted = job.stamp > tenure && !job.record.cancel
+            if (job.record.cancel) cancelled.add(job)
+        }
+        guaranteesDirty = true
         toRead.addLast(Keys.MACHINES to null)
         toRead.addLast(Keys.FINISHED to null)
         state.share(holder = true)
@@ -85,6 +90,11 @@
         machinesRead = false
         allConfirmedLogged = false
         machines.clear()
+        unconfirmed.clear()
+        cancelled.clear()
+        courier.clear()
+        placer.clear()
+        teams.clear()
         toRead.clear()
         reading = false
         journal.clear()
@@ -99,18 +109,24 @@
         if (tenure == 0L) return
         // Accepted after the grant: no earlier holder can have learnt of it while it still held the block.
         job.trusted = job.stamp > tenure && !job.record.cancel
+        if (job.record.cancel) cancelled.add(job)
+        guaranteesDirty = true
         dirty = true
     }
 
     fun jobChanged(job: Job) {
-        if (tenure != 0L) dirty = true
+        if (tenure == 0L) return
+        if (job.record.cancel) cancelled.add(job)
+        dirty = true
     }
 
     fun jobClosed(job: Job) {
         if (tenure == 0L) return
         job.closed = true
+        cancelled.remove(job)
         placer.forget(job)
         stopAll(job)
+        guaranteesDirty = true
         dirty = true
     }
 
@@ -150,11 +166,10 @@
     private fun restore(prefix: String, pair: KeyValue) {
         val name = pair.key.removePrefix(prefix)
         if (prefix == Keys.MACHINES) {
-            val record = decodeRecord(MachineRecord.serializer(), pair.v) ?: return
-            machines[name] = Machine(name, record.endpoint, record.rack, record.hall, record.borrowed, now.steady).also {
-                it.inherited = true
-                it.durable = true
-                it.draining = record.aside
+            for (m in journal.restore(name, pair, teams, now.steady)) {
+                machines[m.name] = m
+                m.joined()
+                unconfirmed.add(m)
             }
         } else {
             val id = name.substringBefore('/')
@@ -164,8 +179,6 @@
         }
     }
 
-    private val unconfirmed: Int get() = machines.values.count { it.inherited && !it.confirmed }
-
     // --- News from workers ------------------------------------------------------------------------------------
 
     /** Null when this node may not answer for the block. */
@@ -176,27 +189,59 @@
         }
         if (!machinesRead) return emptyList()
         val m = machines[report.stove] ?: adopt(report) ?: return emptyList()
-        // Every answer may renew the worker's lease, also that of a machine being released: until the release is
+        // A copy that comes late: its answer reaches no worker that would take it, so it renews no lease, and what it
+        // tells is old.
+        if (report.shift < m.shift || (report.shift == m.shift && report.ticket < m.reportTicket)) return emptyList()
+        // Every other answer may renew the worker's lease, also that of a machine being released: until the release is
         // carried out, its tasks are on it and must be stopped like any others.
         m.answeredAt = now.steady
         hear(m, report, isReport = true)
         if (report.shift != m.shift || !ready) return emptyList()
         // The orders are carried out or dropped before the worker's next report.
-        return orders(m).onEach { order ->
+        val orders = courier.orders(m)
+        for (order in orders) {
+            val p = if (order.verb == Verbs.START) m.placements.get(order.`try`) else null
+            if (p != null) p.sentInReplyTo = maxOf(p.sentInReplyTo, report.ticket)
+        }
+        m.told = orders
+        return orders
+    }
+
+    /** A worker's answer to a direct command. */
+    private fun answered(m: Machine, answer: CheckIn) {
+        if (answer.baton > election.token) election.lose("a worker has seen token ${answer.baton}") else hear(m, answer, isReport = false)
+    }
+
+    /**
+     * Whether what the last answer told shows in this report. A worker that takes answers carries orders out before it
+     * reports again.
+     */
+    private fun checkTaken(m: Machine) {
+        if (m.told.isEmpty()) return
+        val taken = m.told.any { order ->
             val p = m.placements.get(order.`try`)
-            if (order.verb == Verbs.START && p != null) p.sentInReplyTo = maxOf(p.sentInReplyTo, report.ticket)
+            when {
+                p == null -> true
+                order.verb == Verbs.START -> p.seen
+                order.verb == Verbs.HALT -> p.exited || p.status == TaskStatus.SAVING
+                else -> false
+            }
         }
+        m.told = emptyList()
+        if (taken) courier.reached(m) else if (++m.untaken >= Tuning.UNTAKEN_ANSWERS && own.lateAt < now.steady - Tuning.PUSH_MS) courier.missed(m)
     }
 
     /** A machine without a record: nothing was ever started on it, since the record comes first. */
     private fun adopt(report: CheckIn): Machine? {
         val rack = book.racks[report.rack] ?: return null
         if (fleet.isReturned(report.stove)) return null
-        val m = Machine(report.stove, report.endpoint, rack, report.hall, report.borrowed, now.steady)
+        val m = Machine(report.stove, report.endpoint, rack, report.hall, report.borrowed, now.steady, teams)
         m.answeredAt = now.steady
         metrics.count("machine.joined")
         machines[m.name] = m
+        unconfirmed.add(m)
         journal.bind(m)
+        m.joined()
         fleet.arrived(m)
         log.info("machine {} ({}, {}{}) joins the block", m.name, m.rack.label, m.hall, if (m.borrowed) ", spot" else "")
         return m
@@ -205,28 +250,34 @@
     private fun hear(m: Machine, report: CheckIn, isReport: Boolean) {
         if (report.shift < m.shift) return
         if (report.shift > m.shift) newSession(m, report.shift)
+        // Of a machine that has not confirmed the token, a report without it may be a copy as old as an earlier holder.
+        val current = !isReport || m.confirmed || report.baton >= tenure
         if (isReport && report.ticket > m.reportTicket) {
             m.reportTicket = report.ticket
-            m.pushBroken = false
-            m.heardAt = now.steady
+            if (current) m.heardAt = now.steady
         }
         if (report.ticket <= m.ticket) return
         m.ticket = report.ticket
-        m.heardAt = now.steady
-        m.probesFailed = 0
+        if (current) m.heardAt = now.steady
+        if (!m.pushBroken && m.confirmed) m.probesFailed = 0
         m.recallAt = if (report.recallS == null) 0 else now.steady + (report.recallS * 1000).toLong()
         if (report.baton > m.baton) {
             m.baton = report.baton
+            if (report.baton == election.token && m.confirmed) courier.reached(m)
             for (p in m.placements.values) if (p.lostToken in 1 until m.baton) p.lostToken = 0
         }
         if (!m.confirmed) {
-            if (report.baton < tenure || !ready) return
-            m.confirmed = true
+            // One without a record is shown the token directly: the report may be a copy, and the machine gone.
+            if (report.baton < tenure || !ready || (isReport && !m.inherited)) return
+            m.confirm()
+            unconfirmed.remove(m)
+            placer.machinesChanged()
             m.answeredAt = now.steady
+            dirty = true
         }
         listTasks(m, report.portions)
+        if (isReport) checkTaken(m)
         if (m.recallAt != 0L) leave(m)
-        dirty = true
     }
 
     /** The cloud takes [m] soon: replicas move, and what can save its work does; all else may be done by then. */
@@ -246,17 +297,19 @@
         m.shift = shift
         m.ticket = 0
         m.reportTicket = 0
+        m.told = emptyList()
+        dirty = true
     }
 
     private fun listTasks(m: Machine, listed: List<PortionReport>) {
-        val present = HashSet<Long>()
         for (entry in listed) {
-            present.add(entry.`try`)
             val p = m.placements.get(entry.`try`) ?: found(m, entry)
+            p.listedAt = m.ticket
             update(p, entry)
         }
+        if (m.placements.values.all { it.listedAt == m.ticket }) return
         for (p in m.placements.values.toList()) {
-            if (p.attempt in present) continue
+            if (p.listedAt == m.ticket) continue
             // A start that is still on its way may arrive yet; it is sent again until it shows.
             if (p.seen || (p.stop != Stop.NONE && p.settled(m.reportTicket))) gone(p)
         }
@@ -268,7 +321,7 @@
         val index = entry.portion.substringAfter('/', "").toIntOrNull() ?: -1
         val job = book.jobs[id]?.takeIf { index in 0 until it.spec.portions && !it.placements.containsKey(index) }
         val p = Placement(job, entry.portion, index, entry.`try`, m, now.steady, inherited = true)
-        m.placements.put(p.attempt, p)
+        m.attach(p)
         if (job == null) {
             p.stop = Stop.AT_ONCE
         } else {
@@ -280,18 +333,23 @@
     }
 
     private fun update(p: Placement, entry: PortionReport) {
+        val first = !p.seen
         p.seen = true
         val job = p.job
-        if (job != null) p.machine.touchImage(job.spec.recipe, job.spec.sizeGb)
         when (entry.status) {
-            PortionStates.FETCHING -> p.status = TaskStatus.FETCHING
-            PortionStates.RUNNING -> {
-                if (p.status != TaskStatus.RUNNING) {
-                    p.runningSince = now.steady
-                    log.debug("{} try {} runs on {}", p.task, p.attempt, p.machine.name)
-                }
+            PortionStates.FETCHING -> {
+                if (first && job != null) p.machine.touchImage(job.spec.recipe, job.spec.sizeGb)
+                p.status = TaskStatus.FETCHING
+            }
+            PortionStates.RUNNING -> if (p.status != TaskStatus.RUNNING) {
+                p.runningSince = now.steady
                 p.status = TaskStatus.RUNNING
-                if (job != null) p.machine.fetched.add(job.spec.recipe)
+                log.debug("{} try {} runs on {}", p.task, p.attempt, p.machine.name)
+                if (job != null) {
+                    p.machine.touchImage(job.spec.recipe, job.spec.sizeGb)
+                    // Hurried work goes where its image is.
+                    if (p.machine.fetched.add(job.spec.recipe)) dirty = true
+                }
             }
             PortionStates.SAVING -> p.status = TaskStatus.SAVING
             PortionStates.EXITED -> if (!p.exited) exited(p, entry.cause)
@@ -301,6 +359,7 @@
     private fun exited(p: Placement, cause: String?) {
         p.status = TaskStatus.EXITED
         p.cause = cause
+        dirty = true
         metrics.count("task.exited.$cause")
         log.debug("{} try {} on {} exited: {}", p.task, p.attempt, p.machine.name, cause)
         val job = p.job ?: return
@@ -366,41 +425,21 @@
             metrics.count("task.lost")
             log.debug("{} try {} is gone from {}", p.task, p.attempt, p.machine.name)
         }
-        p.machine.placements.remove(p.attempt)
+        p.machine.detach(p)
         p.job?.free(p)
         dirty = true
     }
 
     // --- Orders -----------------------------------------------------------------------------------------------
 
-    /** Everything the worker should still be told; each order may be repeated without harm until it shows. */
-    private fun orders(m: Machine): List<Order> {
-        if (!m.durable || !m.confirmed) return emptyList()
-        val halts = ArrayList<Order>()
-        val starts = ArrayList<Order>()
-        for (p in m.placements.values) {
-            when {
-                p.exited -> if (p.clearable && p.settled(m.reportTicket)) halts.add(Order(Verbs.CLEAR, p.task, p.attempt))
-                p.stop != Stop.NONE -> {
-                    val grace = if (p.stop == Stop.SAVE_FIRST) p.job?.spec?.plateS ?: 0.0 else 0.0
-                    if (p.status != TaskStatus.SAVING || grace == 0.0) halts.add(Order(Verbs.HALT, p.task, p.attempt, grace))
-                }
-                !p.seen -> starts.add(Order(Verbs.START, p.task, p.attempt))
-            }
-        }
-        return halts + starts
-    }
-
     private fun start(job: Job, index: Int, m: Machine) {
         metrics.count("task.started")
         val attempt = (tenure shl ATTEMPT_BITS) or (++attemptSeq and ((1L shl ATTEMPT_BITS) - 1))
         val p = Placement(job, "${job.id}/$index", index, attempt, m, now.steady)
-        m.placements.put(attempt, p)
+        m.attach(p)
         job.place(p)
-        m.count()
-        teams.add(job)
         m.touchImage(job.spec.recipe, job.spec.sizeGb)
-        m.pushWanted = true
+        courier.want(m)
         log.debug("{} try {} starts on {}", p.task, attempt, m.name)
     }
 
@@ -414,7 +453,7 @@
     private fun stop(p: Placement, left: Double = Double.MAX_VALUE) {
         val spec = p.job?.spec
         p.stop = if (spec != null && spec.stirS > 0 && spec.plateS < left) Stop.SAVE_FIRST else Stop.AT_ONCE
-        p.machine.pushWanted = true
+        courier.want(p.machine)
     }
 
     /**
@@ -449,65 +488,7 @@
         for (p in job.placements.values) {
             if (p.stop == Stop.AT_ONCE) continue
             p.stop = Stop.AT_ONCE
-            p.machine.pushWanted = true
-        }
-    }
-
-    private fun push(m: Machine) {
-        val list = orders(m)
-        m.pushWanted = false
-        if (list.isEmpty()) return
-        val started = list.filter { it.verb == Verbs.START }.mapNotNull { m.placements.get(it.`try`) }
-        started.forEach { it.pushOpen = true }
-        m.pushing = true
-        val token = election.token
-        val mine = tenure
-        direct(m, list) { reply ->
-            if (tenure != mine) return@direct
-            m.pushing = false
-            val answer = if (reply.status == 200 || reply.status == 409) parse(reply) else null
-            val known = reply.status == 400 || answer != null
-            for (p in started) {
-                p.pushOpen = false
-                if (!known && m.baton <= token) p.lostToken = token
-            }
-            if (!known) m.pushBroken = true
-            if (answer != null && machines[m.name] === m) {
-                if (answer.baton > election.token) election.lose("a worker has seen token ${answer.baton}") else hear(m, answer, isReport = false)
-            }
-        }
-    }
-
-    private fun direct(m: Machine, list: List<Order>, done: (Reply) -> Unit) {
-        val body = WireJson.encodeToString(OrdersRequest.serializer(), OrdersRequest(election.token, m.shift, list))
-        transport.call(m.endpoint, "POST", "/orders", body, Tuning.PUSH_MS, done)
-    }
-
-    /** Asks an unconfirmed machine for its session, then shows it the token; its answer is its confirmation. */
-    private fun probe(m: Machine) {
-        if (m.pushing || now.steady < m.probeAt) return
-        m.pushing = true
-        m.probeAt = now.steady + Tuning.PROBE_MS
-        val mine = tenure
-        transport.call(m.endpoint, "GET", "/show", null, Tuning.PROBE_MS) { shown ->
-            if (tenure != mine) return@call
-            val report = if (shown.status == 200) parse(shown) else null
-            if (report == null || machines[m.name] !== m || report.stove != m.name) {
-                m.pushing = false
-                m.probesFailed++
-                return@call
-            }
-            hear(m, report, isReport = false)
-            if (m.confirmed) {
-                m.pushing = false
-                return@call
-            }
-            direct(m, emptyList()) { reply ->
-                if (tenure != mine) return@direct
-                m.pushing = false
-                val answer = if (reply.status == 200) parse(reply) else null
-                if (answer != null && machines[m.name] === m) hear(m, answer, isReport = false)
-            }
+            courier.want(p.machine)
         }
     }
 
@@ -519,49 +500,44 @@
         if (!ready) return
         confirm()
         closeCancelled()
-        watchSilence()
-        reliability.count(machines.values, now.steady)
-        if (dirty) {
-            dirty = false
-            machines.values.forEach { it.count() }
-            teams.recount(machines.values, book.jobs.values)
-            placer.pass(book.jobs.values)
+        silence.drive()
+        if (!election.holding) return
+        if (now.steady - countedAt > Tuning.COUNT_MS) {
+            countedAt = now.steady
+            reliability.count(machines.values, now.steady)
         }
-        for (m in machines.values) if (m.pushWanted && !m.pushing && !m.pushBroken && m.durable && m.confirmed && !m.releaseSent) push(m)
-        if (machines.values.any { m -> !m.pushBroken && m.placements.values.any { it.lostToken != 0L } }) election.bump()
+        place()
+        courier.drive()
         fleet.drive(this)
         journal.drive()
     }
 
+    /** Places what waits when something has changed, and now and then since time alone may open a way. */
+    private fun place() {
+        if (!dirty && now.steady - passAt < Tuning.IDLE_PASS_MS) return
+        if (!own.mayPass()) return
+        passAt = now.steady
+        dirty = false
+        if (guaranteesDirty) {
+            guaranteesDirty = false
+            teams.countGuarantees(book.jobs.values)
+        }
+        placer.pass(book.jobs.values)
+    }
+
     private fun confirm() {
-        for (m in machines.values) if (!m.confirmed && !m.releaseSent) probe(m)
-        releaseUnreachable()
-        if (allConfirmedLogged || unconfirmed > 0) return
+        for (m in unconfirmed) if (!m.releaseSent) courier.probe(m)
+        if (allConfirmedLogged || unconfirmed.any { it.inherited }) return
         allConfirmedLogged = true
         book.jobs.values.forEach { it.trusted = true }
         dirty = true
         log.info("block 0: every recorded machine is confirmed")
     }
 
-    /**
-     * An inherited machine that answers no probe while most others do is most likely gone already, and every older
-     * job waits for it: it is released sooner than a silent machine would be otherwise.
-     */
-    private fun releaseUnreachable() {
-        val inherited = machines.values.filter { it.inherited }
-        val missing = inherited.filter { !it.confirmed && !it.releasing && it.probesFailed >= Tuning.PROBES }
-        if (missing.isEmpty() || inherited.count { it.confirmed } <= inherited.size * Tuning.SILENT_SHARE) return
-        for (m in missing) {
-            log.warn("machine {} of the block answers no probe; it is released", m.name)
-            reliability.lost(m)
-            fleet.release(m)
-        }
-    }
-
     /** A cancelled job is over once no machine can start one of its tasks without this holder's word. */
     private fun closeCancelled() {
-        for (job in book.jobs.values) {
-            if (!job.record.cancel || job.closing) continue
+        for (job in cancelled) {
+            if (job.closing) continue
             placer.forget(job)
             stopAll(job)
             val safe = job.trusted && job.placements.values.all { !it.pushOpen && it.lostToken == 0L }
@@ -569,72 +545,22 @@
         }
     }
 
-    private fun watchSilence() {
-        // After a pause of our own, reports are still waiting to be read: nobody was silent.
-        if (now.steady - drivenAt > Tuning.OWN_PAUSE_MS) wokenAt = now.steady
-        drivenAt = now.steady
-        val since = maxOf(wokenAt, election.grantedAt)
-        fun silentFor(m: Machine, reports: Double) = now.steady - maxOf(m.heardAt, since) > (reportMs * reports).toLong()
-        val active = machines.values.filter { !it.releasing }
-        val quiet = active.count { silentFor(it, Tuning.CUT_REPORTS) }
-        if (quiet > 1 && quiet > active.size * Tuning.SILENT_SHARE) {
-            // Most workers at once: the fault is on this node's side. Their leases run out unless another, whom
-            // they may reach, takes the block soon.
-            election.giveUp("$quiet of ${active.size} machines are silent")
-            return
-        }
-        for (m in machines.values.toList()) {
-            if (!silentFor(m, Tuning.OVERDUE_REPORTS)) continue
-            if (m.confirmed && !m.releasing) probe(m)
-            if (!silentFor(m, Tuning.LOST_REPORTS) && !surelyLost(m, active)) continue
-            if (!m.releasing) {
-                reliability.lost(m)
-                log.warn("machine {} is silent for {} ms; it is released", m.name, now.steady - m.heardAt)
-                fleet.release(m)
-            }
-            leaseRanOut(m)
-        }
-    }
-
-    /**
-     * [m] is overdue and answers no probe, while most others, and one of its zone, were heard since it was due: so it
-     * is neither this node nor a zone that is cut off, and nothing is gained by waiting for more reports.
-     */
-    private fun surelyLost(m: Machine, active: List<Machine>): Boolean {
-        if (m.releasing || !m.confirmed || m.probesFailed < Tuning.PROBES) return false
-        val due = m.heardAt + (reportMs * Tuning.DUE_REPORTS).toLong()
-        val heard = active.filter { it !== m && it.heardAt > due }
-        return heard.size * 2 > active.size && heard.any { it.hall == m.hall }
-    }
-
-    /**
-     * Without a word from the cloud: a worker that confirmed this tenure's token has had no valid answer since
-     * [Machine.answeredAt] if the grant was still this node's after the lease ended.
-     */
-    private fun leaseRanOut(m: Machine) {
-        if (!m.confirmed || m.placements.isEmpty()) return
-        val end = m.answeredAt + (leaseMs * Tuning.DRIFT).toLong() + Tuning.LEASE_MARGIN_MS
-        if (now.steady <= end || election.verifiedAt <= end) return
-        log.info("machine {}: its lease has run out", m.name)
-        newSession(m, m.shift + 1)
-    }
-
     /** The machine and everything on it are gone. */
     fun machineGone(m: Machine) {
         metrics.count("machine.gone")
         m.placements.values.toList().forEach(::gone)
         machines.remove(m.name)
+        m.left()
+        unconfirmed.remove(m)
+        courier.forget(m)
         placer.machinesChanged(m)
         journal.unbind(m)
         dirty = true
     }
 
-    private fun parse(reply: Reply): CheckIn? = try {
-        WireJson.decodeFromString(CheckIn.serializer(), reply.body)
-    } catch (e: SerializationException) {
-        log.warn("a worker's answer makes no sense: {}", e.message)
-        null
-    }
+    /** Whether the counts kept as attempts come and go are those of a recount. */
+    fun countsHold() = machines.values.all { it.countsHold() } && teams.countsHold(machines.values) &&
+        book.jobs.values.all { job -> tenure == 0L || job.runningCount == job.placements.values.count { it.status == TaskStatus.RUNNING } }
 
     private companion object {
         /** Bits of an attempt's number that count within a tenure; the token above them makes it unique for ever. */
--- a/src/main/kotlin/ledgearch/core/Job.kt
+++ b/src/main/kotlin/ledgearch/core/Job.kt
@@ -17,6 +17,8 @@
 
     /** Tasks that are finished, durable or not yet. */
     val finished = BitSet()
+    var finishedCount = 0
+        private set
 
     /** Tasks whose completion is durable. */
     val recorded = BitSet()
@@ -27,8 +29,9 @@
     /** Chunks of [finished] that were written at some time and must be removed in the end. */
     val writtenChunks = BitSet()
 
-    /** Tasks finished or possibly on a machine. */
+    /** Tasks finished or possibly on a machine, and how many those are. */
     private val taken = BitSet()
+    private var takenCount = 0
     val placements = Int2ObjectOpenHashMap<Placement>()
 
     /**
@@ -45,6 +48,9 @@
 
     /** Steady ms before which no task is started, after failures of the job's own. */
     var notBefore = Long.MIN_VALUE
+
+    /** Steady ms of the last writing of its finished tasks. */
+    var progressAt = Long.MIN_VALUE / 2
     val errorMachines = HashSet<String>()
     var badTries = 0
 
@@ -66,34 +72,46 @@
         return (spec.racks == null || rack.label in spec.racks) && (spec.hall == null || spec.hall == hall) && (spec.borrowed || !borrowed)
     }
 
-    val complete: Boolean get() = !standing && finished.cardinality() == spec.portions
-    val runningCount: Int get() = placements.values.count { it.status == TaskStatus.RUNNING }
-    val pendingCount: Int get() = spec.portions - taken.cardinality()
+    val complete: Boolean get() = !standing && finishedCount == spec.portions
+    var runningCount = 0
+    val pendingCount: Int get() = spec.portions - takenCount
 
     fun nextPending(from: Int = 0): Int? = taken.nextClearBit(from).takeIf { it < spec.portions }
 
     fun place(p: Placement) {
         placements.put(p.index, p)
-        taken.set(p.index)
+        take(p.index)
     }
 
     /** The task [p] was placed for is on no machine any more. */
     fun free(p: Placement) {
         if (placements.get(p.index) !== p) return
         placements.remove(p.index)
-        if (!finished.get(p.index)) taken.clear(p.index)
+        if (!finished.get(p.index) && taken.get(p.index)) {
+            taken.clear(p.index)
+            takenCount--
+        }
+    }
+
+    private fun take(index: Int) {
+        if (taken.get(index)) return
+        taken.set(index)
+        takenCount++
     }
 
     fun finish(index: Int) {
         if (finished.get(index)) return
         finished.set(index)
-        taken.set(index)
+        finishedCount++
+        take(index)
         dirtyChunks.set(index / Ranges.CHUNK)
     }
 
     fun restoreFinished(ranges: String, chunk: Int) {
         Ranges.decode(ranges, finished, spec.portions)
         taken.or(finished)
+        takenCount = taken.cardinality()
+        finishedCount = finished.cardinality()
         recorded.or(finished)
         writtenChunks.set(chunk)
     }
@@ -101,14 +119,18 @@
     /** Forgets all that only a holder knows. */
     fun forgetHolderState() {
         finished.clear()
+        finishedCount = 0
         recorded.clear()
         dirtyChunks.clear()
         writtenChunks.clear()
         taken.clear()
+        takenCount = 0
+        runningCount = 0
         placements.clear()
         trusted = false
         closing = false
         notBefore = Long.MIN_VALUE
+        progressAt = Long.MIN_VALUE / 2
         errorMachines.clear()
         badTries = 0
         runTime.clear()
--- a/src/main/kotlin/ledgearch/core/Journal.kt
+++ b/src/main/kotlin/ledgearch/core/Journal.kt
@@ -9,6 +9,7 @@
 import ledgearch.state.TxnResult
 import ledgearch.wire.Change
 import ledgearch.wire.Condition
+import ledgearch.wire.KeyValue
 import ledgearch.wire.WireJson
 import ledgearch.wire.WorkStates
 import java.util.BitSet
@@ -17,13 +18,13 @@
  * What the holder makes durable, in batches of one transaction at a time, each comparing the holder's own grant:
  * a transaction that is applied late, after another grant, changes nothing.
  */
-internal class Journal(private val state: StateClient, private val election: Election, private val book: Book, private val now: Now) {
+internal class Journal(private val state: StateClient, private val election: Election, private val book: Book, private val now: Now, valueBytes: Int) {
     /** One part of a batch: its changes go in together or not at all. */
     private class Entry(val conditions: List<Condition>, val changes: List<Change>, val done: () -> Unit)
 
     private var writing = false
     private var retryAt = Long.MIN_VALUE
-    private val machinePuts = LinkedHashMap<String, Machine>()
+    private val machines = MachineRecords(valueBytes)
     private val removals = LinkedHashSet<String>()
     private val closings = LinkedHashMap<String, Pair<Job, String>>()
     private val progress = LinkedHashMap<String, Job>()
@@ -33,26 +34,23 @@
     var onClosed: (Job, FinalRecord) -> Unit = { _, _ -> }
 
     fun clear() {
-        machinePuts.clear()
+        machines.clear()
         removals.clear()
         closings.clear()
         progress.clear()
         catalog = null
     }
 
-    fun bind(machine: Machine) {
-        removals.remove(Keys.machine(machine.name))
-        machinePuts[machine.name] = machine
-    }
+    fun bind(machine: Machine) = machines.put(machine)
+
+    /** The machines of a record that an earlier holder wrote. */
+    fun restore(name: String, pair: KeyValue, teams: Teams, nowMs: Long): List<Machine> = machines.restore(name, pair, teams, nowMs)
 
     fun remove(key: String) {
         removals.add(key)
     }
 
-    fun unbind(machine: Machine) {
-        machinePuts.remove(machine.name)
-        removals.add(Keys.machine(machine.name))
-    }
+    fun unbind(machine: Machine) = machines.remove(machine)
 
     fun close(job: Job, state: String) {
         if (job.closing) return
@@ -100,9 +98,10 @@
             entries.add(entry)
             return true
         }
-        for (m in machinePuts.values) {
-            val value = encode(MachineRecord.serializer(), MachineRecord(0, m.endpoint, m.rack, m.hall, m.borrowed, m.draining))
-            if (!add(Entry(emptyList(), listOf(Change(put = Keys.machine(m.name), v = value))) { machineWritten(m) })) return entries
+        var bytes = 0
+        for (w in machines.pending()) {
+            bytes += w.change.v?.toString()?.length ?: 0
+            if (bytes > Tuning.TXN_BYTES || !add(Entry(emptyList(), listOf(w.change), w.done))) return entries
         }
         for ((id, closing) in closings) {
             val (job, finalState) = closing
@@ -114,7 +113,8 @@
         }
         closings.values.removeAll { (job, _) -> book.jobs[job.id] !== job }
         for (job in progress.values) {
-            if (job.closing) continue
+            // Until then its finished tasks stay on their machines' lists, from where the next holder would learn of them.
+            if (job.closing || now.steady - job.progressAt < Tuning.PROGRESS_MS) continue
             val chunks = chunksOf(job).take(room)
             if (chunks.isEmpty()) continue
             val snapshot = job.finished.clone() as BitSet
@@ -132,10 +132,6 @@
 
     private fun chunksOf(job: Job): List<Int> = job.dirtyChunks.stream().toArray().toList()
 
-    private fun machineWritten(m: Machine) {
-        if (machinePuts.remove(m.name, m)) m.durable = true
-    }
-
     private fun jobClosed(job: Job, record: FinalRecord) {
         closings.remove(job.id)
         progress.remove(job.id)
@@ -146,6 +142,7 @@
     private fun progressWritten(job: Job, chunks: List<Int>, snapshot: BitSet) {
         for (chunk in chunks) {
             job.writtenChunks.set(chunk)
+            job.progressAt = now.steady
             if (Ranges.encode(job.finished, chunk) == Ranges.encode(snapshot, chunk)) job.dirtyChunks.clear(chunk)
         }
         // A final record written meanwhile would leave this chunk behind.
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -2,6 +2,7 @@
 
 import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap
 import ledgearch.core.placement.MachineQueue
+import ledgearch.wire.Order
 import ledgearch.wire.Rack
 
 /** A machine of the block, as its holder knows it. */
@@ -12,6 +13,7 @@
     val hall: String,
     val borrowed: Boolean,
     val knownSince: Long,
+    private val teams: Teams,
 ) {
     /** The record that binds the machine to the block is in the state service. */
     var durable = false
@@ -21,6 +23,7 @@
 
     /** The worker has confirmed the present holder's token: [placements] is all that can be on it. */
     var confirmed = false
+        private set
     var shift = 0L
     var ticket = 0L
     var reportTicket = 0L
@@ -37,10 +40,16 @@
     /** Steady ms at which the cloud takes the machine, or 0. */
     var recallAt = 0L
     var pushing = false
-    var pushWanted = false
 
-    /** A direct command went unanswered; none is sent before the worker is heard again. */
+    /** What was sent did not reach the machine: nothing new is given to it before it is reached again. */
     var pushBroken = false
+
+    /** Steady ms since when nothing sent has reached the machine, or 0. */
+    var brokenSince = 0L
+
+    /** Orders in the last answer to a report, and how many reports in a row show none of them carried out. */
+    var told: List<Order> = emptyList()
+    var untaken = 0
     var probeAt = 0L
     var probesFailed = 0
 
@@ -63,18 +72,63 @@
     /** Images seen here, the last used at the end. */
     val images = LinkedHashMap<String, Double>()
 
-    private var room = Room(rack)
+    private val room = Room(rack)
     val usedCpus: Double get() = rack.vcpus - room.cpus
+
+    /** Attempts that wait for their image. */
     var fetching = 0
+        private set
 
-    fun count() {
-        room = Room(rack)
-        fetching = 0
-        for (p in placements.values) {
-            if (p.exited) continue
-            if (p.status == TaskStatus.FETCHING || p.status == TaskStatus.DECIDED) fetching++
-            room.take(p.job)
-        }
+    /** The machine is the block's from now on, and counts for its teams. */
+    fun joined() {
+        if (inherited && !confirmed) teams.countUnknown(rack, 1)
+    }
+
+    fun confirm() {
+        if (inherited && !confirmed) teams.countUnknown(rack, -1)
+        confirmed = true
+    }
+
+    /** The machine is gone, all its attempts before it. */
+    fun left() {
+        if (inherited && !confirmed) teams.countUnknown(rack, -1)
+    }
+
+    fun attach(p: Placement) {
+        placements.put(p.attempt, p)
+        p.attached = true
+        count(p, 1)
+    }
+
+    fun detach(p: Placement) {
+        if (!p.attached) return
+        placements.remove(p.attempt)
+        count(p, -1)
+        p.attached = false
+    }
+
+    /** Makes a [change] to [p] that may alter what it counts for. */
+    inline fun recounting(p: Placement, change: () -> Unit) {
+        if (p.attached) count(p, -1)
+        change()
+        if (p.attached) count(p, 1)
+    }
+
+    /** Counts are kept as attempts come, change and go: a recount of the whole block for each report would cost too much. */
+    fun count(p: Placement, sign: Int) {
+        if (p.exited) return
+        if (p.status == TaskStatus.FETCHING || p.status == TaskStatus.DECIDED) fetching += sign
+        if (p.status == TaskStatus.RUNNING) p.job?.let { it.runningCount += sign }
+        if (sign > 0) room.take(p.job) else room.give(p.job)
+        teams.count(p, sign)
+    }
+
+    /** Whether what is counted is what a count from scratch gives. */
+    fun countsHold(): Boolean {
+        val fresh = Room(rack)
+        val here = placements.values.filter { !it.exited }
+        here.forEach { fresh.take(it.job) }
+        return room.isAbout(fresh) && fetching == here.count { it.status == TaskStatus.FETCHING || it.status == TaskStatus.DECIDED }
     }
 
     fun hasRoom(job: Job): Boolean = room.fits(job)
--- a/src/main/kotlin/ledgearch/core/Placement.kt
+++ b/src/main/kotlin/ledgearch/core/Placement.kt
@@ -21,12 +21,23 @@
     /** Started by an earlier holder: when its run began is not known. */
     val inherited: Boolean = false,
 ) {
+    /** It is among its machine's attempts, and counted there and for its team. */
+    var attached = false
     var status = TaskStatus.DECIDED
+        set(value) {
+            if (value != field) machine.recounting(this) { field = value }
+        }
     var cause: String? = null
     var stop = Stop.NONE
+        set(value) {
+            if (value != field) machine.recounting(this) { field = value }
+        }
 
     /** The worker has listed it. */
     var seen = false
+
+    /** Ticket of the last message of the worker that listed it. */
+    var listedAt = 0L
     var runningSince = 0L
 
     /** Ticket of the last report whose answer carried the start; such an answer is settled by any later report. */
--- a/src/main/kotlin/ledgearch/core/Records.kt
+++ b/src/main/kotlin/ledgearch/core/Records.kt
@@ -51,12 +51,16 @@
 @Serializable
 internal data class GrantRecord(val node: String, val life: Long)
 
-/** A machine of a block, written before anything starts on it. [aside]: it fails what it starts, and gets nothing new. */
+/** Machines of a block, written before anything starts on them. */
 @Serializable
-internal data class MachineRecord(
-    val block: Int,
+internal data class MachinesRecord(val block: Int, val racks: List<Rack>, val machines: List<MachineEntry>)
+
+/** One of them, with the place of its type among the record's. [aside]: it fails what it starts, and gets nothing new. */
+@Serializable
+internal data class MachineEntry(
+    val name: String,
     val endpoint: String,
-    val rack: Rack,
+    val rack: Int,
     val hall: String,
     val borrowed: Boolean,
     val aside: Boolean = false,
--- a/src/main/kotlin/ledgearch/core/Room.kt
+++ b/src/main/kotlin/ledgearch/core/Room.kt
@@ -1,6 +1,7 @@
 package ledgearch.core
 
 import ledgearch.wire.Rack
+import kotlin.math.abs
 
 /** What is free of a machine's processors, accelerators and memory. */
 internal class Room(private val rack: Rack) {
@@ -40,6 +41,8 @@
             spec.memoryGb <= memory + Machine.ROUNDING
     }
 
+    fun isAbout(other: Room) = listOf(cpus - other.cpus, gpus - other.gpus, memory - other.memory).all { abs(it) <= Machine.ROUNDING }
+
     companion object {
         /** How often [each] and [eachToo] fit into [free] and [freeToo], at most [most]. */
         fun tasks(free: Double, each: Double, freeToo: Double, eachToo: Double, most: Int): Int {
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/Silence.kt
@@ -0,0 +1,116 @@
+package ledgearch.core
+
+import ledgearch.Tuning
+import ledgearch.config.WorkerTimes
+import ledgearch.core.placement.Reliability
+import ledgearch.fleet.Fleet
+import ledgearch.leader.Election
+import org.slf4j.LoggerFactory
+
+/** Which machines are lost, by what is not heard from them and by what does not reach them. */
+internal class Silence(
+    times: WorkerTimes,
+    private val machines: Map<String, Machine>,
+    private val election: Election,
+    private val courier: Courier,
+    private val fleet: Fleet,
+    private val reliability: Reliability,
+    private val now: Now,
+    private val own: OwnTime,
+    private val sessionEnded: (Machine) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("ledgearch.core")
+    private val reportMs = (times.reportS * 1000).toLong()
+    private val leaseMs = (times.leaseS * 1000).toLong()
+    private var watchAt = 0L
+
+    fun drive() {
+        if (now.steady < watchAt) return
+        watchAt = now.steady + Tuning.WATCH_SILENCE_MS
+        releaseMissing()
+        releaseUnreached()
+        watch()
+    }
+
+    private fun release(m: Machine) {
+        reliability.lost(m)
+        fleet.release(m)
+    }
+
+    /**
+     * An inherited machine that answers no probe while most others do is most likely gone already, and every older
+     * job waits for it: it is released sooner than a silent machine would be otherwise.
+     */
+    private fun releaseMissing() {
+        if (machines.values.none { it.inherited && !it.confirmed }) return
+        val inherited = machines.values.filter { it.inherited }
+        val missing = inherited.filter { !it.confirmed && !it.releasing && it.probesFailed >= Tuning.PROBES }
+        if (missing.isEmpty() || inherited.count { it.confirmed } <= inherited.size * Tuning.SILENT_SHARE) return
+        for (m in missing) {
+            log.warn("machine {} of the block answers no probe; it is released", m.name)
+            release(m)
+        }
+    }
+
+    /**
+     * Reports alone are no health: a machine that is heard, but that neither answers nor commands reach, would hold its
+     * tasks for ever and be given more.
+     */
+    private fun releaseUnreached() {
+        val lost = courier.broken.filter {
+            !it.releasing && it.probesFailed >= Tuning.PROBES && now.steady - it.brokenSince > (reportMs * Tuning.LOST_REPORTS).toLong()
+        }
+        if (lost.isEmpty() || courier.broken.size > machines.size * Tuning.SILENT_SHARE) return
+        for (m in lost) {
+            log.warn("machine {} is heard but not reached for {} ms; it is released", m.name, now.steady - m.brokenSince)
+            release(m)
+        }
+    }
+
+    private fun watch() {
+        val since = maxOf(own.lateAt, election.grantedAt)
+        fun silentFor(m: Machine, reports: Double) = now.steady - maxOf(m.heardAt, since) > (reportMs * reports).toLong()
+        val active = machines.values.filter { !it.releasing }
+        val quiet = active.count { silentFor(it, Tuning.CUT_REPORTS) }
+        if (quiet > 1 && quiet > active.size * Tuning.SILENT_SHARE) {
+            // Most workers at once: the fault is on this node's side. Their leases run out unless another, whom
+            // they may reach, takes the block soon.
+            election.giveUp("$quiet of ${active.size} machines are silent")
+            return
+        }
+        for (m in courier.broken) if (!m.releasing) courier.probe(m)
+        for (m in machines.values.toList()) {
+            if (!silentFor(m, Tuning.OVERDUE_REPORTS)) continue
+            if (m.confirmed && !m.releasing) courier.probe(m)
+            if (!silentFor(m, Tuning.LOST_REPORTS) && !surelyLost(m, active)) continue
+            if (!m.releasing) {
+                log.warn("machine {} is silent for {} ms; it is released", m.name, now.steady - m.heardAt)
+                release(m)
+            }
+            leaseRanOut(m)
+        }
+    }
+
+    /**
+     * [m] is overdue and answers no probe, while most others, and one of its zone, were heard since it was due: so it
+     * is neither this node nor a zone that is cut off, and nothing is gained by waiting for more reports.
+     */
+    private fun surelyLost(m: Machine, active: List<Machine>): Boolean {
+        if (m.releasing || !m.confirmed || m.probesFailed < Tuning.PROBES) return false
+        val due = m.heardAt + (reportMs * Tuning.DUE_REPORTS).toLong()
+        val heard = active.filter { it !== m && it.heardAt > due }
+        return heard.size * 2 > active.size && heard.any { it.hall == m.hall }
+    }
+
+    /**
+     * Without a word from the cloud: a worker that confirmed this tenure's token has had no valid answer since
+     * [Machine.answeredAt] if the grant was still this node's after the lease ended.
+     */
+    private fun leaseRanOut(m: Machine) {
+        if (!m.confirmed || m.placements.isEmpty()) return
+        val end = m.answeredAt + (leaseMs * Tuning.DRIFT).toLong() + Tuning.LEASE_MARGIN_MS
+        if (now.steady <= end || election.verifiedAt <= end) return
+        log.info("machine {}: its lease has run out", m.name)
+        sessionEnded(m)
+    }
+}
--- a/src/main/kotlin/ledgearch/core/Teams.kt
+++ b/src/main/kotlin/ledgearch/core/Teams.kt
@@ -1,6 +1,9 @@
 package ledgearch.core
 
 import ledgearch.config.Team
+import ledgearch.wire.Rack
+import ledgearch.wire.Urgencies
+import kotlin.math.abs
 
 /** What each team's tasks may be using at most, and whether more may start. */
 internal class Teams(teams: List<Team>) {
@@ -11,6 +14,16 @@
         /** As above, less what is being stopped: what the team will be left with. */
         var keptCpus = 0.0
         var keptGpus = 0.0
+
+        fun clear() {
+            cpus = 0.0
+            gpus = 0.0
+            keptCpus = 0.0
+            keptGpus = 0.0
+        }
+
+        fun isAbout(other: Use) = abs(cpus - other.cpus) <= Machine.ROUNDING && abs(gpus - other.gpus) <= Machine.ROUNDING &&
+            abs(keptCpus - other.keptCpus) <= Machine.ROUNDING && abs(keptGpus - other.keptGpus) <= Machine.ROUNDING
     }
 
     private val uses = teams.associate { it.name to Use(it) }
@@ -19,13 +32,11 @@
     private var unknownCpus = 0.0
     private var unknownGpus = 0.0
 
-    fun recount(machines: Collection<Machine>, jobs: Collection<Job>) {
-        countUse(machines)
-        countGuarantees(jobs)
-    }
+    /** Attempts that go on, by urgency. */
+    private val goingOn = IntArray(Urgencies.ORDER.size)
 
     /** A job is within its team's guarantee if it fits into it along with the team's earlier unfinished jobs. */
-    private fun countGuarantees(jobs: Collection<Job>) {
+    fun countGuarantees(jobs: Collection<Job>) {
         val promised = HashMap<String, DoubleArray>()
         for (job in jobs.sortedBy { it.record.at }) {
             val team = uses[job.spec.crew]?.team ?: continue
@@ -36,46 +47,44 @@
         }
     }
 
-    private fun countUse(machines: Collection<Machine>) {
-        for (use in uses.values) {
-            use.cpus = 0.0
-            use.gpus = 0.0
-            use.keptCpus = 0.0
-            use.keptGpus = 0.0
-        }
-        unknownCpus = 0.0
-        unknownGpus = 0.0
-        for (m in machines) {
-            if (!m.confirmed && m.inherited) {
-                unknownCpus += m.rack.vcpus
-                unknownGpus += m.rack.accelerators
-            }
-            for (p in m.placements.values) {
-                if (p.exited) continue
-                if (p.job == null) {
-                    unknownCpus += m.rack.vcpus
-                    unknownGpus += m.rack.accelerators
-                } else {
-                    add(p.job)
-                    if (p.stop != Stop.NONE) giveUp(p.job)
-                }
-            }
-        }
+    /** [p] comes ([sign] 1) or goes (-1); between the two it counts for its team's limit, stopped or not. */
+    fun count(p: Placement, sign: Int) {
+        val job = p.job ?: return countUnknown(p.machine.rack, sign)
+        if (p.stop == Stop.NONE) goingOn[job.urgency] += sign
+        val use = uses[job.spec.crew] ?: return
+        use.cpus += sign * job.spec.vcpus
+        use.gpus += sign * job.spec.accelerators
+        if (p.stop != Stop.NONE) return
+        use.keptCpus += sign * job.spec.vcpus
+        use.keptGpus += sign * job.spec.accelerators
     }
 
-    fun add(job: Job) {
-        val use = uses[job.spec.crew] ?: return
-        use.cpus += job.spec.vcpus
-        use.gpus += job.spec.accelerators
-        use.keptCpus += job.spec.vcpus
-        use.keptGpus += job.spec.accelerators
+    /** What [rack] holds could be anyone's. */
+    fun countUnknown(rack: Rack, sign: Int) {
+        unknownCpus += sign * rack.vcpus
+        unknownGpus += sign * rack.accelerators
     }
 
-    /** A task of [job] is being stopped; it still counts for the limit. */
-    fun giveUp(job: Job) {
-        val use = uses[job.spec.crew] ?: return
-        use.keptCpus -= job.spec.vcpus
-        use.keptGpus -= job.spec.accelerators
+    /** Work less urgent than [job] goes on somewhere. */
+    fun anyLessUrgent(job: Job) = (job.urgency + 1 until goingOn.size).any { goingOn[it] > 0 }
+
+    fun clear() {
+        uses.values.forEach { it.clear() }
+        goingOn.fill(0)
+        unknownCpus = 0.0
+        unknownGpus = 0.0
+    }
+
+    /** Whether what is counted is what a count from scratch of [machines] gives. */
+    fun countsHold(machines: Collection<Machine>): Boolean {
+        val fresh = Teams(uses.values.map { it.team })
+        for (m in machines) {
+            if (m.inherited && !m.confirmed) fresh.countUnknown(m.rack, 1)
+            for (p in m.placements.values) if (!p.exited) fresh.count(p, 1)
+        }
+        return abs(unknownCpus - fresh.unknownCpus) <= Machine.ROUNDING &&
+            goingOn.contentEquals(fresh.goingOn) &&
+            uses.all { (name, use) -> fresh.uses[name]?.let(use::isAbout) == true }
     }
 
     /** One more task of [job] keeps its team within its limit, whatever runs where nothing is known. */
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -20,42 +20,52 @@
     private val reliability: Reliability,
     private val start: (Job, Int, Machine) -> Unit,
 ) {
-    private val bound = HashMap<Job, Int>()
+    /** Of each job, the queues that its bound tasks wait in. */
+    private val bound = HashMap<Job, ArrayDeque<MachineQueue>>()
     private var homeTurn = 0
+    private var lists: PreferredLists? = null
 
     /** Images of arrays that are to start at once; machines that have one are left to those while others have room. */
     private val hurriedImages = HashSet<String>()
 
+    /** Sizes of tasks for which this pass has found no room anywhere. */
+    private val misfits = Misfits()
+
     fun forget(job: Job) {
-        if (bound.remove(job) == null) return
-        for (m in machines.values) while (m.queue.unbind(job)) Unit
+        bound.remove(job)?.forEach { it.unbind(job) }
     }
 
-    fun machinesChanged(gone: Machine) {
-        for (job in gone.queue.snapshot()) unbound(job)
+    fun machinesChanged(gone: Machine? = null) {
+        lists = null
+        if (gone == null) return
+        for (job in gone.queue.snapshot()) unbound(job, gone.queue)
         gone.queue.clear()
     }
 
-    /** Counts of machines and teams must be fresh. */
+    fun clear() {
+        lists = null
+        bound.clear()
+        hurriedImages.clear()
+    }
+
     fun pass(jobs: Collection<Job>) {
         val open = jobs.filter { it.startable(now.steady) }
         if (open.isEmpty()) return
         val usable = machines.values.filter { usable(it) }
+        misfits.clear()
         for (job in open) if (!job.standing && ranking.hurried(job)) hurriedImages.add(job.spec.recipe)
         val waiting = ArrayList<Job>()
         for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
             val ordered = ranking.order(sameUrgency)
             for (job in ordered) {
-                val places = if (ranking.hurried(job)) usable.filter { it.imageDistance(job.spec.recipe) == 0 } else usable
-                while (startOne(job, places)) Unit
+                if (ranking.hurried(job)) startIn(job, usable.filter { it.imageDistance(job.spec.recipe) == 0 }) else startAnywhere(job, usable)
             }
             startHurried(ordered.filter { it.pendingCount > 0 && ranking.hurried(it) }, usable)
             ordered.filterTo(waiting) { it.pendingCount > 0 }
         }
         if (waiting.isEmpty()) return
         preemption.pass(waiting, usable)
-        val lists = PreferredLists(usable)
-        for (job in waiting) bindRest(job, usable, lists)
+        bindWaiting(waiting, usable)
     }
 
     /**
@@ -65,76 +75,98 @@
     private fun startHurried(jobs: List<Job>, usable: List<Machine>) {
         if (jobs.isEmpty()) return
         val placed = preemption.besideImages(jobs, usable)
-        for (job in jobs) while (job.pendingCount > (placed[job] ?: 0) && startOne(job, usable)) Unit
+        for (job in jobs) startAnywhere(job, usable, leave = placed[job] ?: 0)
     }
 
     fun usable(m: Machine) =
         m.durable && m.confirmed && !m.draining && !m.retiring && !m.releasing && !m.pushBroken && m.recallAt == 0L && now.steady >= m.refusedUntil
 
-    private fun startOne(job: Job, usable: List<Machine>): Boolean {
-        val index = job.nextPending() ?: return false
-        if (!teams.allows(job)) return false
-        val zones = Zones(job)
-        val fitting = usable.filter { it.allows(job) && it.hasRoom(job) && zones.allows(it.hall) }
-        if (fitting.isEmpty()) return false
-        val m = fitting.minWith(preference(job))
-        // A bound task that starts leaves the queue that it waited in, its machine's own if it can be.
-        if ((bound[job] ?: 0) >= job.pendingCount) {
-            val queue = if (m.queue.unbind(job)) m.queue else machines.values.firstOrNull { it.queue.unbind(job) }?.queue
-            if (queue != null) unbound(job)
-        }
-        start(job, index, m)
-        return true
+    private fun startAnywhere(job: Job, usable: List<Machine>, leave: Int = 0) {
+        if (misfits.covers(job)) return
+        val roomLeft = startIn(job, usable, leave)
+        if (!roomLeft) misfits.add(job)
     }
 
-    private fun preference(job: Job): Comparator<Machine> {
-        val onMachine = HashMap<Machine, Int>()
-        val inHall = HashMap<String, Int>()
-        if (job.standing) {
-            for (p in job.placements.values) {
-                onMachine.merge(p.machine, 1, Int::plus)
-                inHall.merge(p.machine.hall, 1, Int::plus)
+    /** Starts what there is room for in [places], but for the last [leave] tasks; false when no room is left there. */
+    private fun startIn(job: Job, places: List<Machine>, leave: Int = 0): Boolean {
+        if (job.pendingCount <= leave || !teams.allows(job)) return true
+        val candidates = Candidates(job, places.filter { it.hasRoom(job) && it.allows(job) }, rating(job))
+        val zones = Zones(job)
+        while (job.pendingCount > leave && teams.allows(job)) {
+            val index = job.nextPending() ?: break
+            val found = candidates.next(zones) { m ->
+                leaveQueue(job, m)
+                start(job, index, m)
+                zones.add(m.hall)
             }
+            if (!found) break
         }
+        return !candidates.isEmpty
+    }
+
+    /** A bound task that starts leaves the queue that it waited in, its machine's own if it can be. */
+    private fun leaveQueue(job: Job, m: Machine) {
+        val queues = bound[job] ?: return
+        if (queues.size < job.pendingCount) return
+        val queue = if (m.queue in queues) m.queue else queues.first()
+        queue.unbind(job)
+        unbound(job, queue)
+    }
+
+    private fun rating(job: Job): (Candidates.Choice) -> Unit {
         // Room on a machine that is up costs nothing more; spot first lets dear machines run empty and be returned.
         val spotFirst = !reliability.spotIsRisky(job)
         val imageFirst = ranking.hurried(job)
         val pending = job.pendingCount
-        return compareBy(
-            { inHall[it.hall] ?: 0 },
-            { onMachine[it] ?: 0 },
-            { if (imageFirst) it.imageDistance(job.spec.recipe) else if (job.standing) 0 else hurriedImagesOn(it) },
-            { if (it.borrowed == spotFirst) 0 else 1 },
-            { it.imageDistance(job.spec.recipe) },
-            { if (it.imageDistance(job.spec.recipe) == 2) it.fetching else 0 },
+        return { c ->
+            val m = c.machine
+            c.distance = m.imageDistance(job.spec.recipe)
+            if (job.standing) c.replicas = job.placements.values.count { it.machine === m }
+            c.image = if (imageFirst) c.distance else if (job.standing) 0 else hurriedImagesOn(m)
+            c.kind = if (m.borrowed == spotFirst) 0 else 1
+            c.fetching = if (c.distance == 2) m.fetching else 0
             // A job is late when any of its tasks is lost: on few spot machines it loses one less often.
-            { if (it.borrowed && !job.standing) -it.roomFor(job, pending) else 0 },
-            { it.rack.vcpus - it.usedCpus },
-        )
+            c.room = if (m.borrowed && !job.standing) -m.roomFor(job, pending) else 0
+            c.free = m.rack.vcpus - m.usedCpus
+        }
     }
 
-    private fun hurriedImagesOn(m: Machine) = hurriedImages.count { it in m.fetched }
+    private fun hurriedImagesOn(m: Machine) = if (m.fetched.isEmpty()) 0 else hurriedImages.count { it in m.fetched }
+
+    private fun bindWaiting(waiting: List<Job>, usable: List<Machine>) {
+        var open = usable.count { it.queue.band != Band.OVERLOADED }
+        val preferred = lists ?: PreferredLists(machines.values.filter { it.inService }).also { lists = it }
+        for (job in waiting) {
+            if (open == 0) return
+            if (job.pendingCount > (bound[job]?.size ?: 0)) open -= bindRest(job, usable, preferred)
+        }
+    }
 
-    private fun bindRest(job: Job, usable: List<Machine>, lists: PreferredLists) {
+    /** Returns how many queues it filled. */
+    private fun bindRest(job: Job, usable: List<Machine>, preferred: PreferredLists): Int {
         val zones = Zones(job)
         val fitting = usable.filter { it.allows(job) && zones.allows(it.hall) }
-        if (fitting.isEmpty()) return
-        var rest = job.pendingCount - (bound[job] ?: 0)
+        if (fitting.isEmpty()) return 0
+        var rest = job.pendingCount - (bound[job]?.size ?: 0)
+        var filled = 0
         while (rest > 0) {
             val home = fitting[homeTurn++ % fitting.size]
             val target = if (home.queue.band != Band.OVERLOADED) {
                 home
             } else {
-                lists.of(home).firstOrNull { it.queue.band == Band.UNDERLOADED && it.allows(job) && zones.allows(it.hall) } ?: return
+                preferred.of(home).firstOrNull { usable(it) && it.queue.band == Band.UNDERLOADED && it.allows(job) && zones.allows(it.hall) } ?: return filled
             }
             target.queue.bind(job)
-            bound.merge(job, 1, Int::plus)
+            if (target.queue.band == Band.OVERLOADED) filled++
+            bound.getOrPut(job) { ArrayDeque() }.addLast(target.queue)
             rest--
         }
+        return filled
     }
 
-    private fun unbound(job: Job) {
-        val left = (bound[job] ?: 0) - 1
-        if (left <= 0) bound.remove(job) else bound[job] = left
+    private fun unbound(job: Job, queue: MachineQueue) {
+        val queues = bound[job] ?: return
+        queues.remove(queue)
+        if (queues.isEmpty()) bound.remove(job)
     }
 }
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -9,6 +9,7 @@
 import ledgearch.core.Teams
 import ledgearch.core.Zones
 import ledgearch.wire.Urgencies
+import java.util.PriorityQueue
 
 /**
  * Makes room for work that may not wait: for a more urgent job, or for one within its team's guarantee at the
@@ -27,10 +28,14 @@
         }
     }
 
+    /** Tasks whose stopping makes room on one machine, and what that costs. */
+    private class Offer(val prospect: Prospect, val victims: List<Placement>, val cost: Double)
+
     /** [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them. */
     fun pass(waiting: List<Job>, usable: List<Machine>) {
-        val prospects = usable.map { Prospect(it) }
-        claim(waiting, prospects) { job, guaranteed, fitting -> roomFor(job, guaranteed, fitting) }
+        val claimants = waiting.filter { teams.anyLessUrgent(it) || teams.mayClaim(it, 1) }
+        if (claimants.isEmpty()) return
+        claim(claimants, usable.map { Prospect(it) }, sparing = false)
     }
 
     /**
@@ -39,35 +44,40 @@
      */
     fun besideImages(hurried: List<Job>, usable: List<Machine>): Map<Job, Int> {
         val prospects = usable.filter { m -> hurried.any { m.imageDistance(it.spec.recipe) == 0 } }.map { Prospect(it) }
-        return claim(hurried, prospects) { job, guaranteed, fitting ->
-            roomFor(job, guaranteed, fitting.filter { it.machine.imageDistance(job.spec.recipe) == 0 }, sparing = true)
-        }
+        return claim(hurried, prospects, sparing = true)
     }
 
     /** Lets each job in turn find or make room for its tasks; returns how many of them each has got it for. */
-    private fun claim(
-        waiting: List<Job>,
-        prospects: List<Prospect>,
-        place: (Job, Boolean, List<Prospect>) -> Prospect?,
-    ): Map<Job, Int> {
+    private fun claim(waiting: List<Job>, prospects: List<Prospect>, sparing: Boolean): Map<Job, Int> {
         val placed = HashMap<Job, Int>()
         // Tasks of each team that have got room here, in processors.
         val promised = HashMap<String, Double>()
+        val misfits = HashMap<List<Any>, Misfits>()
         for (job in waiting) {
-            val allowed = prospects.filter { it.machine.allows(job) }
+            val places = if (sparing) prospects.filter { it.machine.imageDistance(job.spec.recipe) == 0 } else prospects
             val zones = Zones(job)
+            val yielding by lazy(LazyThreadSafetyMode.NONE) { yielding(job, prospects) }
+            var hunt: Hunt? = null
             var done = 0
             while (done < job.pendingCount) {
-                val yielding = if (done < teams.roomOnceStopped(job)) null else yielding(job, prospects) ?: break
                 val cpus = promised[job.spec.crew] ?: 0.0
                 val guaranteed = teams.mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
-                val prospect = place(job, guaranteed, allowed.filter { zones.allows(it.machine.hall) }) ?: break
-                yielding?.let {
+                // What was tried in vain for one job is not tried again for another that may stop no more.
+                val tried = misfits.getOrPut(if (guaranteed) listOf(job.urgency, job.spec.crew) else listOf(job.urgency)) { Misfits() }
+                if (!sparing && !job.spec.apart && !job.spec.samePlace && tried.covers(job)) break
+                val yields = if (done < teams.roomOnceStopped(job)) null else yielding.next() ?: break
+                val h = hunt?.takeIf { it.guaranteed == guaranteed } ?: Hunt(job, guaranteed, places, zones, sparing).also { hunt = it }
+                val prospect = h.next()
+                if (prospect == null) {
+                    if (!sparing && !job.spec.apart && !job.spec.samePlace) tried.add(job)
+                    break
+                }
+                yields?.let {
                     it.first.room.give(it.second.job)
-                    it.second.job?.let(teams::giveUp)
                     stop(it.second, job)
                 }
                 prospect.room.take(job)
+                h.putBack(prospect)
                 zones.add(prospect.machine.hall)
                 placed.merge(job, 1, Int::plus)
                 promised[job.spec.crew] = cpus + job.spec.vcpus
@@ -77,11 +87,20 @@
         return placed
     }
 
-    /** A less urgent task of the same team, where the team's limit leaves no room for [job]; its place matters not. */
-    private fun yielding(job: Job, prospects: List<Prospect>): Pair<Prospect, Placement>? = prospects
-        .asSequence()
-        .flatMap { at -> at.machine.placements.values.asSequence().filter { mayYield(job, it) }.map { at to it } }
-        .minByOrNull { (_, p) -> cost(p) }
+    /** The less urgent tasks of the same team, where its limit leaves no room for [job]; their places matter not. */
+    private fun yielding(job: Job, prospects: List<Prospect>): Yielding = Yielding(
+        prospects
+            .flatMap { at -> at.machine.placements.values.filter { mayYield(job, it) }.map { at to it } }
+            .sortedBy { (_, p) -> cost(p) }
+            .iterator(),
+    )
+
+    private class Yielding(private val rest: Iterator<Pair<Prospect, Placement>>) {
+        fun next(): Pair<Prospect, Placement>? {
+            while (rest.hasNext()) rest.next().let { if (it.second.goesOn) return it }
+            return null
+        }
+    }
 
     private fun mayYield(job: Job, p: Placement): Boolean {
         val other = p.job ?: return false
@@ -89,37 +108,78 @@
             other.spec.vcpus >= job.spec.vcpus && other.spec.accelerators >= job.spec.accelerators
     }
 
-    /** [sparing]: no task is stopped whose job would miss an aim by that. */
-    private fun roomFor(job: Job, guaranteed: Boolean, prospects: List<Prospect>, sparing: Boolean = false): Prospect? =
-        prospects.filter { it.room.fits(job) }.minByOrNull { it.machine.imageDistance(job.spec.recipe) } ?: makeRoom(job, guaranteed, prospects, sparing)
-
-    private fun makeRoom(job: Job, guaranteed: Boolean, prospects: List<Prospect>, sparing: Boolean): Prospect? {
-        var best: Pair<Prospect, List<Placement>>? = null
-        var bestCost = Double.MAX_VALUE
-        for (prospect in prospects) {
-            val victims = victims(job, guaranteed, prospect, sparing) ?: continue
-            val cost = victims.sumOf { cost(it) } + prospect.machine.imageDistance(job.spec.recipe) * FETCH
-            if (cost < bestCost) {
-                bestCost = cost
-                best = prospect to victims
+    /**
+     * The search for room for the tasks of one job: machines with room first, those with its image before others, then
+     * those where room is made at the least cost. They are ordered once, and an offer is checked when its turn comes.
+     */
+    private inner class Hunt(
+        private val job: Job,
+        val guaranteed: Boolean,
+        prospects: List<Prospect>,
+        private val zones: Zones,
+        private val sparing: Boolean,
+    ) {
+        private val allowed = prospects.filter { it.machine.allows(job) }
+        private val roomy = PriorityQueue<Pair<Int, Prospect>>(compareBy { it.first })
+        private var offers: PriorityQueue<Offer>? = null
+
+        init {
+            allowed.forEach(::addRoomy)
+        }
+
+        private fun addRoomy(p: Prospect) {
+            if (p.room.fits(job)) roomy.add(p.machine.imageDistance(job.spec.recipe) to p)
+        }
+
+        fun putBack(p: Prospect) {
+            if (p.room.fits(job)) addRoomy(p) else offers?.let { addOffer(it, p) }
+        }
+
+        /** A prospect with room for one more task, made where there was none. */
+        fun next(): Prospect? {
+            while (true) {
+                val p = roomy.poll()?.second ?: break
+                if (p.room.fits(job) && zones.allows(p.machine.hall)) return p
+            }
+            val open = offers ?: PriorityQueue<Offer>(compareBy { it.cost }).also { all ->
+                offers = all
+                if (guaranteed || teams.anyLessUrgent(job)) allowed.forEach { addOffer(all, it) }
+            }
+            while (true) {
+                val offer = open.poll() ?: return null
+                val prospect = offer.prospect
+                if (!zones.allows(prospect.machine.hall)) continue
+                // Meanwhile others may have stopped, or a team have nothing more to spare.
+                val fresh = offer(prospect) ?: continue
+                if (fresh.cost > offer.cost) {
+                    open.add(fresh)
+                    continue
+                }
+                for (v in fresh.victims) {
+                    prospect.room.give(v.job)
+                    stop(v, job)
+                }
+                return prospect
             }
         }
-        val (prospect, victims) = best ?: return null
-        for (v in victims) {
-            prospect.room.give(v.job)
-            v.job?.let(teams::giveUp)
-            stop(v, job)
+
+        private fun addOffer(to: PriorityQueue<Offer>, p: Prospect) {
+            offer(p)?.let { to.add(it) }
+        }
+
+        private fun offer(p: Prospect): Offer? {
+            val victims = victims(job, guaranteed, p, sparing) ?: return null
+            return Offer(p, victims, victims.sumOf { cost(it) } + p.machine.imageDistance(job.spec.recipe) * FETCH)
         }
-        return prospect
     }
 
     private fun victims(job: Job, guaranteed: Boolean, prospect: Prospect, sparing: Boolean): List<Placement>? {
         val room = prospect.room
         val candidates = prospect.machine.placements.values
             .filter { it.goesOn && it.job != null && mayStop(job, guaranteed, it.job) && !(sparing && missed(it) > 0) }
-            .sortedBy { cost(it) }
+        if (candidates.isEmpty()) return null
         val chosen = ArrayList<Placement>()
-        for (c in candidates) {
+        for (c in candidates.map { cost(it) to it }.sortedBy { it.first }.map { it.second }) {
             // The team of an earlier choice may have nothing more to spare.
             if (c.job != null && c.job.urgency == job.urgency && chosen.any { it.job?.spec?.crew == c.job.spec.crew }) continue
             chosen.add(c)
--- a/src/main/kotlin/ledgearch/core/placement/PreferredLists.kt
+++ b/src/main/kotlin/ledgearch/core/placement/PreferredLists.kt
@@ -9,13 +9,20 @@
  * k-th choice of exactly one other, and overloaded machines do not dump their tasks on the same buddy.
  */
 internal class PreferredLists(machines: Collection<Machine>) {
-    private val rings: Map<String, List<Machine>> = machines.groupBy { it.hall }.mapValues { (_, list) -> list.sortedBy { it.name } }
+    private class Place(val ring: List<Machine>, val at: Int)
+
+    private val places = HashMap<Machine, Place>()
+
+    init {
+        for (ring in machines.groupBy { it.hall }.values.map { list -> list.sortedBy { it.name } }) {
+            ring.forEachIndexed { at, m -> places[m] = Place(ring, at) }
+        }
+    }
 
     fun of(m: Machine): List<Machine> {
-        val ring = rings[m.hall] ?: return emptyList()
-        val at = ring.indexOf(m)
-        if (at < 0) return emptyList()
-        return offsets(ring.size).map { ring[Math.floorMod(at + it, ring.size)] }
+        val place = places[m] ?: return emptyList()
+        val size = place.ring.size
+        return offsets(size).map { place.ring[Math.floorMod(place.at + it, size)] }
     }
 
     private fun offsets(size: Int): List<Int> {
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -10,7 +10,6 @@
 import ledgearch.core.Journal
 import ledgearch.core.Machine
 import ledgearch.core.Now
-import ledgearch.core.Placement
 import ledgearch.core.Room
 import ledgearch.core.Transport
 import ledgearch.http.Reply
@@ -198,9 +197,9 @@
                 toRelease.add(name)
             }
         }
-        val churn = holder.reserve.churn(holder.machines.values)
+        val churn = holder.reserve.churn(book().jobs.values)
         load.now(holder.machines.values.sumOf { it.usedCpus })
-        ordinaryLoad.now(holder.machines.values.sumOf { m -> m.placements.values.sumOf { ordinaryCpus(holder, it) } })
+        ordinaryLoad.now(book().jobs.values.sumOf { ordinaryCpus(holder, it) })
         val needs = Demand.of(book().jobs.values, holder, now)
         if (needs.isEmpty()) {
             if (calmSince == 0L) calmSince = now.steady
@@ -246,7 +245,7 @@
         if (needs.isNotEmpty() && log.isDebugEnabled) {
             log.debug("{} jobs wait for room; churn {} a second, {} machines coming, planned {}", needs.size, churn, booting.size, planned.values.sum())
         }
-        for ((pool, count) in planned) if (key(pool) !in renting && bucket.has(1)) rent(pool, count)
+        for ((pool, count) in planned) if (key(pool) !in renting && bucket.has(1)) rent(pool, minOf(count, MAX_RENT))
     }
 
     private fun cheapest(need: Demand, planned: Map<Pool, Int>): Pool? {
@@ -325,24 +324,23 @@
         val used = load.value
         val ordinary = active.sumOf { if (it.borrowed) 0.0 else it.rack.vcpus }
         val reserve = holder.reserve.cpus(churn, bootS())
+        val fixed = active.filter { !it.borrowed }.groupingBy { it.hall }.eachCount()
         val m = active
             .filter { c -> now.steady - c.knownSince > Tuning.KEEP_MS }
             .filter { capacity - it.rack.vcpus >= used + reserve }
             .filter { c -> c.borrowed || ordinary - c.rack.vcpus >= ordinaryLoad.value }
-            .filter { c -> c.borrowed || active.any { it !== c && !it.borrowed && it.hall == c.hall } }
-            .filter { holder.canMoveReplicas(it, active) }
-            .maxWithOrNull(compareBy({ price(it.rack, it.borrowed) }, { -it.usedCpus })) ?: return false
+            .filter { c -> c.borrowed || (fixed[c.hall] ?: 0) > 1 }
+            .sortedWith(compareBy({ -price(it.rack, it.borrowed) }, { it.usedCpus }))
+            .firstOrNull { holder.canMoveReplicas(it, active) } ?: return false
         m.retiring = true
         holder.moveReplicas(m)
         log.info("machine {} is not needed: {} of {} processors used, {} to spare", m.name, used.toInt(), capacity.toInt(), reserve.toInt())
         return true
     }
 
-    /** What [p] takes if it belongs on an ordinary machine: it may not or should not run on spot. */
-    private fun ordinaryCpus(holder: Holder, p: Placement): Double {
-        val job = p.job
-        return if (job == null || p.exited || (job.spec.borrowed && !holder.reliability.spotIsRisky(job))) 0.0 else job.spec.vcpus
-    }
+    /** What the tasks of [job] take if they belong on ordinary machines: they may not or should not run on spot. */
+    private fun ordinaryCpus(holder: Holder, job: Job): Double =
+        if (job.placements.isEmpty() || (job.spec.borrowed && !holder.reliability.spotIsRisky(job))) 0.0 else job.placements.size * job.spec.vcpus
 
     /** Seconds until a machine of the quickest type is up. */
     private fun bootS() = book().racks.values.minOfOrNull { it.startupS } ?: 0.0
@@ -361,6 +359,7 @@
 
     private companion object {
         const val MAX_RELEASE = 100
+        const val MAX_RENT = 50
 
         /** Of a processor for an hour. */
         fun price(rack: Rack, borrowed: Boolean) = (if (borrowed) rack.lowPrice else rack.hourly) / rack.vcpus
--- a/src/main/kotlin/ledgearch/fleet/Reserve.kt
+++ b/src/main/kotlin/ledgearch/fleet/Reserve.kt
@@ -4,9 +4,7 @@
 import ledgearch.config.Settings
 import ledgearch.config.startWithinS
 import ledgearch.core.Job
-import ledgearch.core.Machine
 import ledgearch.core.Now
-import ledgearch.core.TaskStatus
 import ledgearch.core.placement.Estimates
 import kotlin.math.exp
 import kotlin.math.sqrt
@@ -58,11 +56,8 @@
     fun startWithinS(job: Job, otherwise: Double): Double = minOf(withinS[job.spec.menu] ?: otherwise, otherwise)
 
     /** Processors that running tasks free each second. */
-    fun churn(machines: Collection<Machine>): Double = machines.sumOf { m ->
-        m.placements.values.sumOf { p ->
-            val job = p.job
-            if (job == null || job.standing || p.status != TaskStatus.RUNNING) 0.0 else job.spec.vcpus / maxOf(estimates.seconds(job), 1.0)
-        }
+    fun churn(jobs: Collection<Job>): Double = jobs.sumOf { job ->
+        if (job.standing || job.runningCount == 0) 0.0 else job.runningCount * job.spec.vcpus / maxOf(estimates.seconds(job), 1.0)
     }
 
     /**
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -109,7 +109,7 @@
             "accepted" -> check("accepted ${w[2]}", false, world.rules.isAccepted(w[2]))
             "machines" -> world.cloud.names.size.let { check("machines ${w[2]}", it, it == w[2].toInt()) }
             "spot-machines" -> world.cloud.spotCount.let { check("spot machines ${w[2]}", it, it == w[2].toInt()) }
-            "put-aside" -> world.state.keysUnder("m/").count { world.state.field(it, "aside") == "true" }.let { check("put aside ${w[2]}", it, it == w[2].toInt()) }
+            "put-aside" -> world.state.keysUnder("m/").sumOf { key -> world.state.text(key).split("\"aside\":true").size - 1 }.let { check("put aside ${w[2]}", it, it == w[2].toInt()) }
             "gone" -> check("gone ${w[2]}", true, w[2] !in world.cloud.names)
             "holder" -> holder(world).let { check("holder ${w[2]}", it, if (w[2] == "any") it != "none" else if (w[2].startsWith("not-")) it != "none" && "not-$it" != w[2] else it == w[2]) }
             "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
--- a/src/test/kotlin/ledgearch/world/StateStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/StateStandIn.kt
@@ -145,5 +145,7 @@
     /** A field of a stored value, for expectations. */
     fun field(key: String, name: String): String? = ((keys[key]?.v as? JsonObject)?.get(name))?.jsonPrimitive?.content
 
+    fun text(key: String) = keys[key]?.v.toString()
+
     fun stamp(key: String): Long = keys[key]?.stamp ?: 0
 }
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -80,6 +80,7 @@
         private fun tick(mine: Int) {
             if (mine != life) return
             run(Command.Tick)
+            if (controller?.countsHold() == false) rules.violations.add("${clock.now} ms: $name counts other than a recount")
             clock.after(50) { tick(mine) }
         }
 
