--- a/src/main/kotlin/ledgearch/core/Courier.kt
+++ b/src/main/kotlin/ledgearch/core/Courier.kt
@@ -92,6 +92,7 @@
 
     /** What was sent to the machine did not show: nothing new is given to it until it is reached. */
     fun missed(m: Machine) {
+        if (!isHere(m)) return
         m.pushBroken = true
         if (m.brokenSince == 0L) m.brokenSince = now.steady
         broken.add(m)
@@ -109,14 +110,14 @@
             m.pushing = false
             for (p in started) {
                 p.pushOpen = false
-                if (answer == null && m.baton <= token) {
+                if (answer == null && m.baton <= token && isHere(m)) {
                     p.lostToken = token
                     lossy.add(m)
                 }
             }
             // A time-out of our own, while this node was behind with its work, says nothing about the machine.
             if (answer == null && own.lateAt < sentAt) missed(m)
-            answer?.let { heard(m, it) }
+            if (answer != null && isHere(m)) heard(m, answer)
         }
     }
 
@@ -125,7 +126,7 @@
         val mine = tenure
         val body = WireJson.encodeToString(OrdersRequest.serializer(), OrdersRequest(election.token, maxOf(m.shift, 1L), list))
         transport.call(m.endpoint, "POST", "/orders", body, timeoutMs) { reply ->
-            if (tenure != mine || !isHere(m)) return@call
+            if (tenure != mine) return@call
             val answer = if (reply.status == 200 || reply.status == 409) parse(reply)?.takeIf { it.stove == m.name } else null
             if (answer != null) reached(m)
             done(answer)
@@ -150,7 +151,7 @@
                 if (own.lateAt < sentAt) m.probesFailed++
                 return@direct
             }
-            heard(m, answer)
+            if (isHere(m)) heard(m, answer)
             if (isHere(m) && !m.confirmed && m.shift != session) probe(m, again = true)
         }
     }
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -240,7 +240,6 @@
         metrics.count("machine.joined")
         machines[m.name] = m
         unconfirmed.add(m)
-        journal.bind(m)
         m.joined()
         fleet.arrived(m)
         log.info("machine {} ({}, {}{}) joins the block", m.name, m.rack.label, m.hall, if (m.borrowed) ", spot" else "")
@@ -271,6 +270,7 @@
             if (report.baton < tenure || !ready || (isReport && !m.inherited)) return
             m.confirm()
             unconfirmed.remove(m)
+            if (!m.durable) journal.bind(m)
             placer.machinesChanged()
             m.answeredAt = now.steady
             dirty = true
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -30,8 +30,10 @@
         val world = World(options["nodes"]?.toInt() ?: 1, options["seed"]?.toLong() ?: 1, operator())
         world.loss = options["loss"]?.toDouble() ?: 0.0
         world.cloud.capacity = options["capacity"]?.toInt() ?: 0
+        // a+spot*20: so many spot machines in zone a.
         options["machines"].orEmpty().split(' ').filter { it.isNotEmpty() }.forEach { place ->
-            world.cloud.add(place.substringBefore('+'), place.endsWith("+spot"))
+            val kind = place.substringBefore('*')
+            repeat(place.substringAfter('*', "1").toInt()) { world.cloud.add(kind.substringBefore('+'), kind.endsWith("+spot")) }
         }
         world.nodes.forEach { it.start() }
         steps.forEach { step -> world.clock.at(step.at) { act(world, step) } }
@@ -59,6 +61,18 @@
             "start" -> world.nodes.first { it.name == w[1] }.start()
             "start-all" -> world.nodes.forEach { if (!it.up) it.start() }
             "cut" -> world.cut(named(1), w[2], seconds(4), w[5] == "hold")
+            // deaf MACHINE until S: its reports arrive, but nothing reaches it.
+            "deaf" -> world.cut("nodes", host(world, w[1]), seconds(3), hold = false, oneWay = true)
+            // copies SHARE within S: of that share of reports from now on a copy comes up to so much later.
+            "copies" -> {
+                world.copied = w[1].toDouble()
+                world.copyDelayMs = seconds(3)
+            }
+            // back NODE after S: its process ends, and is there again a moment later.
+            "back" -> world.nodes.first { it.name == named(1) }.let { node ->
+                node.crash()
+                world.clock.after(seconds(3)) { if (!node.up) node.start() }
+            }
             "state-down" -> world.state.outage(true)
             "state-up" -> world.state.outage(false)
             "cloud-down" -> world.cloud.down = true
@@ -76,6 +90,11 @@
                 world.removeWorker(it)
                 world.cloud.taken(it)
             }
+            // take-many COUNT: the first ones, without a word.
+            "take-many" -> world.cloud.names.take(w[1].toInt()).forEach {
+                world.removeWorker(it)
+                world.cloud.taken(it)
+            }
             "expect" -> expect(world, step)
             else -> failures.add("line ${step.line}: unknown step ${w[0]}")
         }
--- a/src/test/kotlin/ledgearch/world/WorkerStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/WorkerStandIn.kt
@@ -79,8 +79,8 @@
         changed = false
         val node = world.nodes[target % world.nodes.size]
         val body = WireJson.encodeToString(CheckIn.serializer(), snapshot())
-        world.send(name, node.name, "POST", "/checkin", body) { reply ->
-            if (!alive || hanging || seq != reportSeq || session != shift) return@send
+        world.sendReport(name, node.name, body) { reply ->
+            if (!alive || hanging || seq != reportSeq || session != shift) return@sendReport
             when (reply.status) {
                 200 -> {
                     waitingSince = -1
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -40,7 +40,13 @@
     /** Share of messages that are lost, each way. */
     var loss = 0.0
 
-    private class Cut(val a: String, val b: String, val until: Long, val hold: Boolean)
+    /** Share of the workers' reports of which a copy comes late, after up to so many ms, and to any node. */
+    var copied = 0.0
+    var copyDelayMs = 0L
+
+    private class Cut(val a: String, val b: String, val until: Long, val hold: Boolean, val oneWay: Boolean) {
+        fun between(from: String, to: String) = (matches(a, from) && matches(b, to)) || (!oneWay && matches(b, from) && matches(a, to))
+    }
 
     private val cuts = ArrayList<Cut>()
 
@@ -146,20 +152,25 @@
 
     private fun deliver(from: String, to: String, action: () -> Unit) {
         if (loss > 0 && random.nextDouble() < loss) return
-        val cut = cuts.firstOrNull { it.until > clock.now && ((matches(it.a, from) && matches(it.b, to)) || (matches(it.b, from) && matches(it.a, to))) }
+        val cut = cuts.firstOrNull { it.until > clock.now && it.between(from, to) }
         if (cut != null && !cut.hold) return
         val at = (cut?.until ?: clock.now) + 2 + random.nextLong(8)
         clock.at(at, action)
     }
 
-    private fun unreachable(a: String, b: String) = cuts.any { it.until > clock.now && ((matches(it.a, a) && matches(it.b, b)) || (matches(it.b, a) && matches(it.a, b))) }
+    private fun unreachable(a: String, b: String) = cuts.any { it.until > clock.now && it.between(a, b) }
 
-    private fun matches(pattern: String, name: String) = pattern == name ||
-        (pattern == "workers" && name.startsWith("host-")) ||
-        (pattern == "all" && name != "user")
+    fun cut(a: String, b: String, until: Long, hold: Boolean, oneWay: Boolean = false) {
+        cuts.add(Cut(a, b, until, hold, oneWay))
+    }
 
-    fun cut(a: String, b: String, until: Long, hold: Boolean) {
-        cuts.add(Cut(a, b, until, hold))
+    /** A report; a copy of it may come late, whose answer reaches nobody. */
+    fun sendReport(from: String, to: String, body: String, answer: (Reply) -> Unit) {
+        send(from, to, "POST", "/checkin", body, answer)
+        if (copied > 0 && random.nextDouble() < copied) {
+            val node = nodes[random.nextInt(nodes.size)]
+            clock.after(1 + random.nextLong(copyDelayMs)) { node.serve("POST", "/checkin", body) { } }
+        }
     }
 
     private fun handle(to: String, method: String, target: String, body: String?, answer: (Reply) -> Unit) {
@@ -243,6 +254,11 @@
     companion object {
         const val TEAM_MAX = 24.0
         const val CANCEL_MS = 39_000L
+        private fun matches(pattern: String, name: String) = pattern == name ||
+            (pattern == "workers" && name.startsWith("host-")) ||
+            (pattern == "nodes" && name.startsWith("n")) ||
+            (pattern == "all" && name != "user")
+
         private const val WALL = 1_700_000_000_000L
     }
 }
