Risky jobs sheltered whole on ordinary machines; work leaves a machine under notice; owner load in /metrics

Now risky jobs are taken whole by what they gain for their size. What a machine under notice would not finish begins anew at once.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -30,6 +30,9 @@
     /** Share of the sockets allowed that incoming connections may take; the rest is for calls to others. */
     const val INCOMING_SHARE = 0.75
 
+    /** Share of the sockets allowed that unused connections to others may take. */
+    const val IDLE_SHARE = 0.15
+
     /** ms. Opening a connection to anything: several resends of a lost packet. */
     const val CONNECT_MS = 1_500L
 
@@ -217,6 +220,9 @@
     /** ms. Between two looks for silent machines: a fraction of a report interval. */
     const val WATCH_SILENCE_MS = 250L
 
+    /** ms. After the time of a notice, before the machine is asked whether it was taken. */
+    const val TAKEN_MARGIN_MS = 300L
+
     /** ms. Between two countings of machine hours. */
     const val COUNT_MS = 1_000L
 
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -34,8 +34,11 @@
     private val failures = CoroutineExceptionHandler { _, e -> log.error("unexpected failure", e) }
     private val scope = CoroutineScope(executor.asCoroutineDispatcher() + SupervisorJob() + failures)
     private val group = AsynchronousChannelGroup.withThreadPool(executor)
-    private val client = HttpClient(group)
+    private val client = HttpClient(group, (settings.deployment.quota.fdLimit * Tuning.IDLE_SHARE).toInt())
     private val queue = Channel<Command>(Tuning.QUEUE)
+
+    /** Commands in [queue], or waiting to be. */
+    private var waiting = 0
     private val random = Random(System.nanoTime() xor settings.node.hashCode().toLong())
     private val mesh = MeshLinks(scope, group, OwnerEvents())
     private val controller = Controller(settings, SocketTransport(), mesh, random, random.nextLong(Long.MAX_VALUE))
@@ -49,7 +52,7 @@
         scope.launch {
             while (true) {
                 delay(Tuning.TICK_MS)
-                queue.trySend(Command.Tick)
+                if (queue.trySend(Command.Tick).isSuccess) waiting++
             }
         }
         scope.launch {
@@ -61,9 +64,14 @@
         log.info("node {} listens on {}", settings.node, settings.listen)
     }
 
+    private suspend fun put(command: Command) {
+        waiting++
+        queue.send(command)
+    }
+
     private suspend fun handle(request: Request): Response {
         val answer = CompletableDeferred<Response>()
-        queue.send(Command.Serve(request) { answer.complete(it) })
+        put(Command.Serve(request) { answer.complete(it) })
         return answer.await()
     }
 
@@ -74,26 +82,29 @@
             // Never with a time-out: a command handed over at the moment of the time-out would be lost.
             batch.add(queue.receive())
             while (batch.size < Tuning.BATCH) batch.add(queue.tryReceive().getOrNull() ?: break)
+            waiting -= batch.size
+            val began = System.nanoTime()
             try {
-                controller.run(System.nanoTime() / 1_000_000, System.currentTimeMillis(), batch, behind = batch.size == Tuning.BATCH)
+                controller.run(began / 1_000_000, System.currentTimeMillis(), batch, behind = waiting > 0)
             } catch (e: RuntimeException) {
                 // One bad message must not end the service; whoever sent it gets no answer and comes back.
                 log.error("a command failed", e)
             }
+            controller.worked((System.nanoTime() - began) / 1000, waiting)
         }
     }
 
     private inner class OwnerEvents : MeshEvents {
-        override suspend fun news(progress: List<Progress>) = queue.send(Command.News(progress))
+        override suspend fun news(progress: List<Progress>) = put(Command.News(progress))
 
-        override suspend fun refused(address: String) = queue.send(Command.PeerRefused(address))
+        override suspend fun refused(address: String) = put(Command.PeerRefused(address))
     }
 
     private inner class SocketTransport : Transport {
         override fun call(address: String, method: String, target: String, body: String?, timeoutMs: Long, done: (Reply) -> Unit) {
             scope.launch {
                 val reply = client.call(address, method, target, body, timeoutMs)
-                queue.send(Command.Answered(reply, done))
+                put(Command.Answered(reply, done))
             }
         }
     }
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -52,7 +52,7 @@
     private val book = Book(state, now, BookEvents())
     private val election: Election = Election(node, life, state, { book }, now, random, ElectionEvents())
     private val journal = Journal(state, election, book, now, (settings.deployment.state.valueKb * 1024).toInt())
-    private val own = OwnTime(now)
+    private val own = OwnTime(now, metrics)
     private val fleet: Fleet = Fleet(settings, metered, { election }, { book }, now, { journal })
     private val holder = Holder(settings, state, metered, election, book, now, journal, fleet, metrics, own)
     private val intake = Intake(settings, book, state, GrantEvents(), now)
@@ -87,6 +87,9 @@
         state.pump()
     }
 
+    /** The last batch took [micros] and left [waiting] commands. */
+    fun worked(micros: Long, waiting: Int) = metrics.worked(micros, waiting)
+
     /** The holder's other half of a poll: the rest of the nodes know a job's progress only from here. */
     private fun tellProgress() {
         if (!election.holding || now.steady < publishAt) return
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -280,12 +280,17 @@
         if (m.recallAt != 0L) leave(m)
     }
 
-    /** The cloud takes [m] soon: replicas move, and what can save its work does; all else may be done by then. */
+    /**
+     * The cloud takes [m] soon: replicas move, what can save its work does, and what would not be done by then begins
+     * anew elsewhere without waiting for the end.
+     */
     private fun leave(m: Machine) {
         val left = (m.recallAt - now.steady) / 1000.0
         for (p in m.placements.values) {
             val job = p.job
-            if (job == null || !p.goesOn || !(job.standing || job.spec.stirS > 0)) continue
+            if (job == null || !p.goesOn) continue
+            val ran = if (p.status == TaskStatus.RUNNING) (now.steady - p.runningSince) / 1000.0 else 0.0
+            if (!job.standing && job.spec.stirS == 0.0 && estimates.seconds(job) - ran <= left) continue
             stop(p, left)
             log.debug("{} leaves {}, which is taken in {} s", p.task, m.name, left)
         }
@@ -505,6 +510,7 @@
         if (now.steady - countedAt > Tuning.COUNT_MS) {
             countedAt = now.steady
             reliability.count(machines.values, now.steady)
+            reliability.shelter(book.jobs.values, machines.values)
         }
         place()
         courier.drive()
@@ -521,6 +527,7 @@
         if (guaranteesDirty) {
             guaranteesDirty = false
             teams.countGuarantees(book.jobs.values)
+            reliability.shelter(book.jobs.values, machines.values)
         }
         placer.pass(book.jobs.values)
     }
--- a/src/main/kotlin/ledgearch/core/Metrics.kt
+++ b/src/main/kotlin/ledgearch/core/Metrics.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import ledgearch.Tuning
 import org.HdrHistogram.IntCountsHistogram
 
 /** Counters and latencies since the process began, as `GET /metrics` shows them. */
@@ -19,17 +20,34 @@
         latencies.getOrPut(what) { IntCountsHistogram(LONGEST_MS, DIGITS) }.recordValue((now.steady - startedAt).coerceIn(0, LONGEST_MS))
     }
 
+    private val batches = IntCountsHistogram(LONGEST_US, DIGITS)
+    private val queue = IntCountsHistogram(Tuning.QUEUE.toLong(), DIGITS)
+    private val gaps = IntCountsHistogram(LONGEST_MS, DIGITS)
+
+    /** The owner worked off a batch in [micros] and left [waiting] commands in its queue. */
+    fun worked(micros: Long, waiting: Int) {
+        batches.recordValue(micros.coerceIn(0, LONGEST_US))
+        queue.recordValue(waiting.toLong().coerceIn(0, Tuning.QUEUE.toLong()))
+    }
+
+    /** A tick came [gapMs] after the one before. */
+    fun ticked(gapMs: Long) = gaps.recordValue(gapMs.coerceIn(0, LONGEST_MS))
+
     fun report(node: String, token: Long, jobs: Int, machines: Int, tasks: Int) = MetricsReport(
-        node, token, jobs, machines, tasks, counters.toSortedMap(),
-        latencies.toSortedMap().mapValues { (_, h) ->
-            Latency(h.totalCount, h.getValueAtPercentile(50.0), h.getValueAtPercentile(90.0), h.getValueAtPercentile(99.0), h.maxValue)
-        },
+        node, token, jobs, machines, tasks, OwnerLoad(summary(batches), summary(queue), summary(gaps)), counters.toSortedMap(),
+        latencies.toSortedMap().mapValues { (_, h) -> summary(h) },
     )
 
+    private fun summary(h: IntCountsHistogram) =
+        Summary(h.totalCount, h.getValueAtPercentile(50.0), h.getValueAtPercentile(90.0), h.getValueAtPercentile(99.0), h.maxValue)
+
     private companion object {
         /** ms. Longer than any request is waited for. */
         const val LONGEST_MS = 60_000L
 
+        /** Microseconds. A batch that takes longer has stopped the service. */
+        const val LONGEST_US = 60_000_000L
+
         /** Digits kept of a latency: 1%. */
         const val DIGITS = 2
     }
@@ -43,9 +61,18 @@
     @SerialName("open_jobs") val openJobs: Int,
     val machines: Int,
     val tasks: Int,
+    val owner: OwnerLoad,
     val counters: Map<String, Long>,
-    @SerialName("latency_ms") val latencyMs: Map<String, Latency>,
+    @SerialName("latency_ms") val latencyMs: Map<String, Summary>,
+)
+
+/** How the owner keeps up: time of a batch, commands left waiting after it, and time between two ticks. */
+@Serializable
+internal data class OwnerLoad(
+    @SerialName("batch_us") val batchUs: Summary,
+    @SerialName("queue_length") val queueLength: Summary,
+    @SerialName("tick_gap_ms") val tickGapMs: Summary,
 )
 
 @Serializable
-internal data class Latency(val count: Long, val p50: Long, val p90: Long, val p99: Long, val max: Long)
+internal data class Summary(val count: Long, val p50: Long, val p90: Long, val p99: Long, val max: Long)
--- a/src/main/kotlin/ledgearch/core/OwnTime.kt
+++ b/src/main/kotlin/ledgearch/core/OwnTime.kt
@@ -6,7 +6,7 @@
  * Whether this node keeps up. While it is behind, reports and answers wait to be read here: nobody was silent, and a
  * time-out may be this node's own.
  */
-internal class OwnTime(private val now: Now) {
+internal class OwnTime(private val now: Now, private val metrics: Metrics) {
     private var tickAt = 0L
     private var passAt = Long.MIN_VALUE / 2
 
@@ -14,15 +14,12 @@
     var lateAt = Long.MIN_VALUE / 2
         private set
 
-    /** ms. How late the last tick was, and how long the longest gap between two was, since it was last asked for. */
-    var lastGap = 0L
-        private set
-
     /** A tick has come; ticks are due every [Tuning.TICK_MS]. */
     fun ticked() {
         if (tickAt != 0L) {
-            lastGap = now.steady - tickAt
-            if (lastGap > Tuning.OWN_PAUSE_MS) lateAt = now.steady
+            val gap = now.steady - tickAt
+            metrics.ticked(gap)
+            if (gap > Tuning.OWN_PAUSE_MS) lateAt = now.steady
         }
         tickAt = now.steady
     }
--- a/src/main/kotlin/ledgearch/core/Silence.kt
+++ b/src/main/kotlin/ledgearch/core/Silence.kt
@@ -80,7 +80,16 @@
         }
         for (m in courier.broken) if (!m.releasing) courier.probe(m)
         for (m in machines.values.toList()) {
-            if (!silentFor(m, Tuning.OVERDUE_REPORTS)) continue
+            if (!silentFor(m, Tuning.OVERDUE_REPORTS)) {
+                if (isTaken(m)) {
+                    courier.probe(m)
+                    if (m.probesFailed > 0 && !m.releasing) {
+                        log.info("machine {} was taken; it is released", m.name)
+                        release(m)
+                    }
+                }
+                continue
+            }
             if (m.confirmed && !m.releasing) courier.probe(m)
             if (!silentFor(m, Tuning.LOST_REPORTS) && !surelyLost(m, active)) continue
             if (!m.releasing) {
@@ -91,6 +100,10 @@
         }
     }
 
+    /** The time that its notice gave is over, and it was not heard since. */
+    private fun isTaken(m: Machine) =
+        m.confirmed && m.recallAt != 0L && m.heardAt < m.recallAt && now.steady > m.recallAt + Tuning.TAKEN_MARGIN_MS
+
     /**
      * [m] is overdue and answers no probe, while most others, and one of its zone, were heard since it was due: so it
      * is neither this node nor a zone that is cut off, and nothing is gained by waiting for more reports.
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -115,7 +115,7 @@
 
     private fun rating(job: Job): (Candidates.Choice) -> Unit {
         // Room on a machine that is up costs nothing more; spot first lets dear machines run empty and be returned.
-        val spotFirst = !reliability.spotIsRisky(job)
+        val spotFirst = reliability.spotFirst(job)
         val imageFirst = ranking.hurried(job)
         val pending = job.pendingCount
         return { c ->
--- a/src/main/kotlin/ledgearch/core/placement/Reliability.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Reliability.kt
@@ -2,6 +2,7 @@
 
 import ledgearch.core.Job
 import ledgearch.core.Machine
+import kotlin.math.exp
 
 /** How often spot machines are lost, from what was seen, and what that means for a job. */
 internal class Reliability(private val estimates: Estimates) {
@@ -19,8 +20,37 @@
     }
 
     /** More likely than not the job would lose a task on spot machines, and be late by as much as it had run. */
-    fun spotIsRisky(job: Job): Boolean =
-        losses / hours * estimates.seconds(job) / SECONDS_PER_HOUR * job.spec.portions > EXPECTED_LOSSES
+    fun spotIsRisky(job: Job): Boolean = expectedLosses(job) > EXPECTED_LOSSES
+
+    private fun expectedLosses(job: Job) = losses / hours * estimates.seconds(job) / SECONDS_PER_HOUR * (job.spec.portions - job.finishedCount)
+
+    /** Risky jobs that ordinary machines have room for, as last chosen. */
+    private val sheltered = HashSet<Job>()
+
+    /**
+     * Chooses the risky jobs that are to keep to ordinary machines. A job that is half on spot machines is late nearly
+     * as often as one that is there as a whole, so a share of each would help none: jobs are taken whole, first those
+     * that gain most by what they take up.
+     */
+    fun shelter(jobs: Collection<Job>, machines: Collection<Machine>) {
+        sheltered.clear()
+        var room = machines.sumOf { if (it.borrowed || !it.inService) 0.0 else it.rack.vcpus } - jobs.sumOf { if (it.spec.borrowed) 0.0 else cpus(it) }
+        val risky = jobs.filter { it.spec.borrowed && !it.complete && spotIsRisky(it) }
+        for (job in risky.sortedByDescending { gain(it) }) {
+            val cpus = cpus(job)
+            if (cpus > room) continue
+            room -= cpus
+            sheltered.add(job)
+        }
+    }
+
+    private fun cpus(job: Job) = job.spec.vcpus * (job.spec.portions - job.finishedCount)
+
+    /** How much less likely the job is to lose a task, by the processor time that it takes. */
+    private fun gain(job: Job) = (1 - exp(-expectedLosses(job))) / (cpus(job) * estimates.seconds(job)).coerceAtLeast(1.0)
+
+    /** Spot machines come first for [job]: it is in little danger there, or ordinary ones are for others. */
+    fun spotFirst(job: Job) = job !in sheltered
 
     private companion object {
         /** Machine hours of experience that the first guess counts for, and that guess in losses an hour. */
--- a/src/main/kotlin/ledgearch/http/HttpClient.kt
+++ b/src/main/kotlin/ledgearch/http/HttpClient.kt
@@ -10,10 +10,12 @@
 import java.nio.channels.AsynchronousSocketChannel
 
 /** Calls to others over kept-alive connections, a small pool for each address. Used from one thread only. */
-internal class HttpClient(private val group: AsynchronousChannelGroup) {
+internal class HttpClient(private val group: AsynchronousChannelGroup, private val maxIdle: Int = Int.MAX_VALUE) {
     private class Pooled(val channel: AsynchronousSocketChannel, val reader: MessageReader, var idleSince: Long)
 
-    private val idle = HashMap<String, ArrayDeque<Pooled>>()
+    /** The addresses that have unused connections, the one used longest ago first. */
+    private val idle = LinkedHashMap<String, ArrayDeque<Pooled>>()
+    private var idleCount = 0
 
     /** One exchange. Never repeated here: only the caller knows whether a repeat is safe. */
     suspend fun call(address: String, method: String, target: String, body: String?, timeoutMs: Long): Reply {
@@ -45,7 +47,10 @@
         val lists = idle.values.iterator()
         while (lists.hasNext()) {
             val list = lists.next()
-            while (list.isNotEmpty() && now - list.first().idleSince > Tuning.POOLED_IDLE_MS) list.removeFirst().channel.closeQuietly()
+            while (list.isNotEmpty() && now - list.first().idleSince > Tuning.POOLED_IDLE_MS) {
+                idleCount--
+                list.removeFirst().channel.closeQuietly()
+            }
             if (list.isEmpty()) lists.remove()
         }
     }
@@ -55,6 +60,7 @@
         val now = System.nanoTime() / 1_000_000
         while (list.isNotEmpty()) {
             val c = list.removeLast()
+            idleCount--
             if (now - c.idleSince <= Tuning.POOLED_IDLE_MS) return c
             c.channel.closeQuietly()
         }
@@ -63,7 +69,21 @@
 
     private fun put(address: String, c: Pooled) {
         c.idleSince = System.nanoTime() / 1_000_000
-        idle.getOrPut(address) { ArrayDeque() }.addLast(c)
+        val list = idle.remove(address) ?: ArrayDeque()
+        list.addLast(c)
+        idle[address] = list
+        // Hundreds of workers are called now and then: without a bound their connections use up the sockets allowed.
+        idleCount++
+        while (idleCount > maxIdle) closeOldest()
+    }
+
+    private fun closeOldest() {
+        val (address, list) = idle.entries.first()
+        if (list.isNotEmpty()) {
+            idleCount--
+            list.removeFirst().channel.closeQuietly()
+        }
+        if (list.isEmpty()) idle.remove(address)
     }
 
     private suspend fun open(address: String): Pooled {
