--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -45,8 +45,8 @@
     val teams = Teams(settings.deployment.teams)
     private val estimates = Estimates()
     val reserve = Reserve(settings, estimates, now)
-    val reliability = Reliability(estimates)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
+    val reliability = Reliability(estimates, ranking)
     private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, ::start)
     private val courier = Courier(transport, election, now, own, { machines[it.name] === it }, ::answered)
     private val silence = Silence(settings.deployment.workers, machines, election, courier, fleet, reliability, now, own) { newSession(it, it.shift + 1) }
@@ -510,7 +510,7 @@
         if (now.steady - countedAt > Tuning.COUNT_MS) {
             countedAt = now.steady
             reliability.count(machines.values, now.steady)
-            reliability.shelter(book.jobs.values, machines.values)
+            shelter()
         }
         place()
         courier.drive()
@@ -527,11 +527,13 @@
         if (guaranteesDirty) {
             guaranteesDirty = false
             teams.countGuarantees(book.jobs.values)
-            reliability.shelter(book.jobs.values, machines.values)
+            shelter()
         }
         placer.pass(book.jobs.values)
     }
 
+    private fun shelter() = reliability.shelter(book.jobs.values, machines.values, reserve.ordinaryCpus(fleet.bootS()))
+
     private fun confirm() {
         for (m in unconfirmed) if (!m.releaseSent) courier.probe(m)
         if (allConfirmedLogged || unconfirmed.any { it.inherited }) return
--- a/src/main/kotlin/ledgearch/core/placement/Reliability.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Reliability.kt
@@ -5,7 +5,7 @@
 import kotlin.math.exp
 
 /** How often spot machines are lost, from what was seen, and what that means for a job. */
-internal class Reliability(private val estimates: Estimates) {
+internal class Reliability(private val estimates: Estimates, private val ranking: Ranking) {
     private var hours = PRIOR_HOURS
     private var losses = PRIOR_HOURS * PRIOR_RATE
     private var countedAt = 0L
@@ -28,15 +28,17 @@
     private val sheltered = HashSet<Job>()
 
     /**
-     * Chooses the risky jobs that are to keep to ordinary machines. A job that is half on spot machines is late nearly
-     * as often as one that is there as a whole, so a share of each would help none: jobs are taken whole, first those
-     * that gain most by what they take up.
+     * Chooses the risky jobs that are to keep to ordinary machines, of which [reserved] processors are left to work that
+     * may go nowhere else. A job that is half on spot machines loses tasks nearly as often as one that is there as a
+     * whole, so a share of each would help none: jobs are taken whole, first those that gain most by what they take up.
+     * One that would meet its aims all the same gains nothing.
      */
-    fun shelter(jobs: Collection<Job>, machines: Collection<Machine>) {
+    fun shelter(jobs: Collection<Job>, machines: Collection<Machine>, reserved: Double) {
         sheltered.clear()
-        var room = machines.sumOf { if (it.borrowed || !it.inService) 0.0 else it.rack.vcpus } - jobs.sumOf { if (it.spec.borrowed) 0.0 else cpus(it) }
-        val risky = jobs.filter { it.spec.borrowed && !it.complete && spotIsRisky(it) }
-        for (job in risky.sortedByDescending { gain(it) }) {
+        var room = machines.sumOf { if (it.borrowed || !it.inService) 0.0 else it.rack.vcpus } - reserved -
+            jobs.sumOf { if (it.spec.borrowed) 0.0 else cpus(it) }
+        val gains = jobs.filter { it.spec.borrowed && !it.complete && spotIsRisky(it) }.map { it to gain(it) }.filter { it.second > 0 }
+        for ((job, _) in gains.sortedByDescending { it.second }) {
             val cpus = cpus(job)
             if (cpus > room) continue
             room -= cpus
@@ -46,8 +48,11 @@
 
     private fun cpus(job: Job) = job.spec.vcpus * (job.spec.portions - job.finishedCount)
 
-    /** How much less likely the job is to lose a task, by the processor time that it takes. */
-    private fun gain(job: Job) = (1 - exp(-expectedLosses(job))) / (cpus(job) * estimates.seconds(job)).coerceAtLeast(1.0)
+    /** How many fewer aims the job is likely to miss, by the processor time that it takes. */
+    private fun gain(job: Job): Double {
+        val missed = ranking.missedByLoss(job, estimates.seconds(job) / 2 + FOUND_OUT_S)
+        return (1 - exp(-expectedLosses(job))) * missed / (cpus(job) * estimates.seconds(job)).coerceAtLeast(1.0)
+    }
 
     /** Spot machines come first for [job]: it is in little danger there, or ordinary ones are for others. */
     fun spotFirst(job: Job) = job !in sheltered
@@ -59,6 +64,8 @@
 
         /** Expected lost tasks: at 0.5 the chance of losing at least one is 40%. */
         const val EXPECTED_LOSSES = 0.5
+        /** Seconds until a machine that is gone without a word is found out. */
+        const val FOUND_OUT_S = 10.0
         const val MS_PER_HOUR = 3_600_000.0
         const val SECONDS_PER_HOUR = 3_600.0
     }
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -340,10 +340,10 @@
 
     /** What the tasks of [job] take if they belong on ordinary machines: they may not or should not run on spot. */
     private fun ordinaryCpus(holder: Holder, job: Job): Double =
-        if (job.placements.isEmpty() || (job.spec.borrowed && !holder.reliability.spotIsRisky(job))) 0.0 else job.placements.size * job.spec.vcpus
+        if (job.placements.isEmpty() || (job.spec.borrowed && holder.reliability.spotFirst(job))) 0.0 else job.placements.size * job.spec.vcpus
 
     /** Seconds until a machine of the quickest type is up. */
-    private fun bootS() = book().racks.values.minOfOrNull { it.startupS } ?: 0.0
+    fun bootS() = book().racks.values.minOfOrNull { it.startupS } ?: 0.0
 
     private fun call(method: String, target: String, body: String?, done: (Reply) -> Unit) {
         bucket.take(1)
--- a/src/main/kotlin/ledgearch/fleet/Reserve.kt
+++ b/src/main/kotlin/ledgearch/fleet/Reserve.kt
@@ -14,7 +14,7 @@
  * what running tasks free within that time, and what is kept free. Machines boot too slowly to help.
  */
 internal class Reserve(settings: Settings, private val estimates: Estimates, private val now: Now) {
-    private class Arrivals {
+    private class Arrivals(val ordinary: Boolean) {
         /** Jobs, processors and squared processors that came of late; what came long ago has faded. */
         var jobs = 0.0
         var cpus = 0.0
@@ -47,7 +47,7 @@
         if (job.spec.menu !in withinS) return
         // More than its team's limit never starts at once.
         val atOnce = minOf(job.spec.vcpus * job.spec.portions, limits[job.spec.crew] ?: 0.0)
-        arrivals.getOrPut(job.spec.menu) { Arrivals() }.let {
+        arrivals.getOrPut(job.spec.menu) { Arrivals(!job.spec.borrowed) }.let {
             it.fade(now.steady)
             it.add(atOnce)
         }
@@ -65,19 +65,26 @@
      * boot time ([bootS]), less what frees within the time that they can wait.
      */
     fun cpus(churn: Double, bootS: Double): Double {
+        val (processors, within) = expected(bootS) { true }
+        return if (processors == 0.0) 0.0 else (processors - churn * within * Tuning.CHURN_COUNTED).coerceAtLeast(0.0)
+    }
+
+    /** Processors of ordinary machines that classes which may go nowhere else are likely to need within a boot time. */
+    fun ordinaryCpus(bootS: Double): Double = expected(bootS) { it.ordinary }.first
+
+    private fun expected(bootS: Double, counted: (Arrivals) -> Boolean): Pair<Double, Double> {
         var expected = 0.0
         var variance = 0.0
         var within = Double.MAX_VALUE
         for ((name, a) in arrivals) {
             val wait = withinS[name] ?: continue
-            if (wait >= bootS) continue
+            if (wait >= bootS || !counted(a)) continue
             a.fade(now.steady)
             val horizons = bootS * 1000.0 / Tuning.ARRIVALS_MS
             expected += a.cpus * horizons
             variance += a.squares * horizons
             within = minOf(within, wait)
         }
-        if (expected == 0.0) return 0.0
-        return (expected + deviations * sqrt(variance) - churn * within * Tuning.CHURN_COUNTED).coerceAtLeast(0.0)
+        return expected + deviations * sqrt(variance) to within
     }
 }
