--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -481,12 +481,14 @@
         }
     }
 
-    fun moveReplicas(m: Machine) {
-        for (p in m.placements.values) {
-            if (!p.goesOn || p.job?.standing != true) continue
+    /** Returns whether there were any. */
+    fun moveReplicas(m: Machine): Boolean {
+        val replicas = m.placements.values.filter { it.goesOn && it.job?.standing == true }
+        for (p in replicas) {
             stop(p)
             log.debug("{} moves off {}", p.task, m.name)
         }
+        return replicas.isNotEmpty()
     }
 
     private fun stopAll(job: Job) {
--- a/src/main/kotlin/ledgearch/core/placement/Candidates.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Candidates.kt
@@ -12,8 +12,8 @@
 internal class Candidates(private val job: Job, machines: List<Machine>, private val rate: (Choice) -> Unit) {
     /** A machine with what it is judged by, from the weightiest on; less is better. */
     class Choice(val machine: Machine, val order: Int) {
-        var replicas = 0
         var image = 0
+        var replicas = 0
         var kind = 0
         var distance = 0
         var fetching = 0
@@ -69,8 +69,8 @@
     private companion object {
         val COMPARATOR = Comparator<Choice> { a, b ->
             when {
-                a.replicas != b.replicas -> a.replicas.compareTo(b.replicas)
                 a.image != b.image -> a.image.compareTo(b.image)
+                a.replicas != b.replicas -> a.replicas.compareTo(b.replicas)
                 a.kind != b.kind -> a.kind.compareTo(b.kind)
                 a.distance != b.distance -> a.distance.compareTo(b.distance)
                 a.fetching != b.fetching -> a.fetching.compareTo(b.fetching)
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -122,7 +122,8 @@
             val m = c.machine
             c.distance = m.imageDistance(job.spec.recipe)
             if (job.standing) c.replicas = job.placements.values.count { it.machine === m }
-            c.image = if (imageFirst) c.distance else if (job.standing) 0 else hurriedImagesOn(m)
+            // A replica is up once its image is there; beside it, replicas keep apart as far as they can.
+            c.image = if (imageFirst) c.distance else if (job.standing) minOf(c.distance, 1) else hurriedImagesOn(m)
             c.kind = if (m.borrowed == spotFirst) 0 else 1
             c.fetching = if (c.distance == 2) m.fetching else 0
             // A job is late when any of its tasks is lost: on few spot machines it loses one less often.
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -33,7 +33,7 @@
 
     /** [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them. */
     fun pass(waiting: List<Job>, usable: List<Machine>) {
-        val claimants = waiting.filter { teams.anyLessUrgent(it) || teams.mayClaim(it, 1) }
+        val claimants = waiting.filter { teams.anyLessUrgent(it) || mayClaim(it, 1) }
         if (claimants.isEmpty()) return
         claim(claimants, usable.map { Prospect(it) }, sparing = false)
     }
@@ -47,6 +47,8 @@
         return claim(hurried, prospects, sparing = true)
     }
 
+    private fun mayClaim(job: Job, tasks: Int) = ranking.claims(job) && teams.mayClaim(job, tasks)
+
     /** Lets each job in turn find or make room for its tasks; returns how many of them each has got it for. */
     private fun claim(waiting: List<Job>, prospects: List<Prospect>, sparing: Boolean): Map<Job, Int> {
         val placed = HashMap<Job, Int>()
@@ -61,7 +63,7 @@
             var done = 0
             while (done < job.pendingCount) {
                 val cpus = promised[job.spec.crew] ?: 0.0
-                val guaranteed = teams.mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
+                val guaranteed = mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
                 // What was tried in vain for one job is not tried again for another that may stop no more.
                 val tried = misfits.getOrPut(if (guaranteed) listOf(job.urgency, job.spec.crew) else listOf(job.urgency)) { Misfits() }
                 if (!sparing && !job.spec.apart && !job.spec.samePlace && tried.covers(job)) break
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -28,6 +28,17 @@
         return within < job.spec.sizeGb * FETCH_S_PER_GB && age(job) < within
     }
 
+    private val guaranteeWithin: Double? = objectives.filter { it.kind == "guarantee" }.mapNotNull { it.withinS }.minOrNull()
+
+    /**
+     * Work within a guarantee claims room from other teams' surplus only once half the time in which it is to start, less
+     * what its image takes, is over: it is served before all else of its urgency, and mostly enough frees by itself.
+     */
+    fun claims(job: Job): Boolean {
+        val within = guaranteeWithin ?: return true
+        return age(job) >= (within - job.spec.sizeGb * FETCH_S_PER_GB) / 2
+    }
+
     private class Rank(val job: Job, val lateness: Int, val cost: Double)
 
     /** Jobs of one urgency, first to be served first. */
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -333,9 +333,9 @@
             .sortedWith(compareBy({ -price(it.rack, it.borrowed) }, { it.usedCpus }))
             .firstOrNull { holder.canMoveReplicas(it, active) } ?: return false
         m.retiring = true
-        holder.moveReplicas(m)
         log.info("machine {} is not needed: {} of {} processors used, {} to spare", m.name, used.toInt(), capacity.toInt(), reserve.toInt())
-        return true
+        // Replicas of several machines would move to the same room, and some wait for their image elsewhere.
+        return !holder.moveReplicas(m)
     }
 
     /** What the tasks of [job] take if they belong on ordinary machines: they may not or should not run on spot. */
