--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -43,11 +43,11 @@
 
     val machines = LinkedHashMap<String, Machine>()
     val teams = Teams(settings.deployment.teams)
-    private val estimates = Estimates()
-    val reserve = Reserve(settings, estimates, now)
+    val estimates = Estimates()
+    val reserve = Reserve(settings, now)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
     val reliability = Reliability(estimates, ranking)
-    private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, ::start)
+    private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, estimates, ::start)
     private val courier = Courier(transport, election, now, own, { machines[it.name] === it }, ::answered)
     private val silence = Silence(settings.deployment.workers, machines, election, courier, fleet, reliability, now, own) { newSession(it, it.shift + 1) }
 
--- a/src/main/kotlin/ledgearch/core/placement/Estimates.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Estimates.kt
@@ -35,6 +35,11 @@
         return job.spec.cookS * correction
     }
 
+    /** Processors that the running tasks of [jobs] free each second. */
+    fun freedASecond(jobs: Collection<Job>): Double = jobs.sumOf { job ->
+        if (job.standing || job.runningCount == 0) 0.0 else job.runningCount * job.spec.vcpus / maxOf(seconds(job), 1.0)
+    }
+
     private companion object {
         /** Jobs after which older ones fade. */
         const val MEMORY = 20.0
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -18,6 +18,7 @@
     private val ranking: Ranking,
     private val preemption: Preemption,
     private val reliability: Reliability,
+    private val estimates: Estimates,
     private val start: (Job, Int, Machine) -> Unit,
 ) {
     /** Of each job, the queues that its bound tasks wait in. */
@@ -64,7 +65,7 @@
             ordered.filterTo(waiting) { it.pendingCount > 0 }
         }
         if (waiting.isEmpty()) return
-        preemption.pass(waiting, usable)
+        preemption.pass(waiting, usable, estimates.freedASecond(jobs))
         bindWaiting(waiting, usable)
     }
 
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -1,5 +1,6 @@
 package ledgearch.core.placement
 
+import ledgearch.Tuning
 import ledgearch.core.Job
 import ledgearch.core.Machine
 import ledgearch.core.Now
@@ -31,9 +32,17 @@
     /** Tasks whose stopping makes room on one machine, and what that costs. */
     private class Offer(val prospect: Prospect, val victims: List<Placement>, val cost: Double)
 
-    /** [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them. */
-    fun pass(waiting: List<Job>, usable: List<Machine>) {
-        val claimants = waiting.filter { teams.anyLessUrgent(it) || mayClaim(it, 1) }
+    /**
+     * [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them; [freesASecond]:
+     * processors that running tasks free. Where that much frees soon, nothing is stopped for a job that has just come.
+     */
+    fun pass(waiting: List<Job>, usable: List<Machine>, freesASecond: Double) {
+        var freed = freesASecond * PATIENCE_S * Tuning.CHURN_COUNTED
+        val claimants = waiting.filter { job ->
+            val served = ranking.patient(job, PATIENCE_S) && freed >= job.pendingCount * job.spec.vcpus
+            freed -= job.pendingCount * job.spec.vcpus
+            !served && (teams.anyLessUrgent(job) || mayClaim(job, 1))
+        }
         if (claimants.isEmpty()) return
         claim(claimants, usable.map { Prospect(it) }, sparing = false)
     }
@@ -220,6 +229,9 @@
     }
 
     private companion object {
+        /** Seconds that a job waits for room to free by itself, at most half the time in which it is to start. */
+        const val PATIENCE_S = 2.0
+
         /** Processor seconds. What a start is worth by itself: its image is there, its users see it run. */
         const val STARTED = 5.0
 
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -39,6 +39,9 @@
         return age(job) >= (within - job.spec.sizeGb * FETCH_S_PER_GB) / 2
     }
 
+    /** The job came less than [seconds] ago, and half the time in which it is to start is not over. */
+    fun patient(job: Job, seconds: Double) = age(job) < minOf(seconds, (startWithin[job.spec.menu] ?: Double.MAX_VALUE) / 2)
+
     private class Rank(val job: Job, val lateness: Int, val cost: Double)
 
     /** Jobs of one urgency, first to be served first. */
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -197,7 +197,7 @@
                 toRelease.add(name)
             }
         }
-        val churn = holder.reserve.churn(book().jobs.values)
+        val churn = holder.estimates.freedASecond(book().jobs.values)
         load.now(holder.machines.values.sumOf { it.usedCpus })
         ordinaryLoad.now(book().jobs.values.sumOf { ordinaryCpus(holder, it) })
         val needs = Demand.of(book().jobs.values, holder, now)
--- a/src/main/kotlin/ledgearch/fleet/Reserve.kt
+++ b/src/main/kotlin/ledgearch/fleet/Reserve.kt
@@ -5,7 +5,6 @@
 import ledgearch.config.startWithinS
 import ledgearch.core.Job
 import ledgearch.core.Now
-import ledgearch.core.placement.Estimates
 import kotlin.math.exp
 import kotlin.math.sqrt
 
@@ -13,7 +12,7 @@
  * How much room to keep ahead of demand. A class whose users ask for starts within a time finds room in two ways:
  * what running tasks free within that time, and what is kept free. Machines boot too slowly to help.
  */
-internal class Reserve(settings: Settings, private val estimates: Estimates, private val now: Now) {
+internal class Reserve(settings: Settings, private val now: Now) {
     private class Arrivals(val ordinary: Boolean) {
         /** Jobs, processors and squared processors that came of late; what came long ago has faded. */
         var jobs = 0.0
@@ -55,11 +54,6 @@
 
     fun startWithinS(job: Job, otherwise: Double): Double = minOf(withinS[job.spec.menu] ?: otherwise, otherwise)
 
-    /** Processors that running tasks free each second. */
-    fun churn(jobs: Collection<Job>): Double = jobs.sumOf { job ->
-        if (job.standing || job.runningCount == 0) 0.0 else job.runningCount * job.spec.vcpus / maxOf(estimates.seconds(job), 1.0)
-    }
-
     /**
      * Processors to keep free: what the classes that can't wait for a machine to boot are likely to bring within a
      * boot time ([bootS]), less what frees within the time that they can wait.
