A bound on every job's wait: starved jobs first, with a machine held for them; several tasks of a team may yield

A team within its guarantee got no room where only several small tasks of another would make it (scenario small-team-beside-greedy). Services do not wait for room to free by itself.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -246,6 +246,15 @@
     /** ms. A pass when nothing was seen to change, since time alone may open a way. */
     const val IDLE_PASS_MS = 250L
 
+    /** ms. A job with nothing started for this long goes first; half of the longest wait that users take. */
+    const val STARVED_MS = 120_000L
+
+    /** Parts. A starved job gets one such part of its tasks before others are served again. */
+    const val STARVED_PARTS = 4
+
+    /** Machines. Held at one time for starved jobs that find no room: they stand partly idle meanwhile. */
+    const val HELD_AT_ONCE = 3
+
     // --- Fleet ------------------------------------------------------------------------------------------------
     /** ms. Between two readings of the machine list. */
     const val LIST_MS = 4_000L
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -443,6 +443,7 @@
         val p = Placement(job, "${job.id}/$index", index, attempt, m, now.steady)
         m.attach(p)
         job.place(p)
+        job.servedAt = now.wall
         m.touchImage(job.spec.recipe, job.spec.sizeGb)
         courier.want(m)
         log.debug("{} try {} starts on {}", p.task, attempt, m.name)
--- a/src/main/kotlin/ledgearch/core/Job.kt
+++ b/src/main/kotlin/ledgearch/core/Job.kt
@@ -49,6 +49,9 @@
     /** Steady ms before which no task is started, after failures of the job's own. */
     var notBefore = Long.MIN_VALUE
 
+    /** Wall ms of the last start of one of its tasks by this holder. */
+    var servedAt = 0L
+
     /** Steady ms of the last writing of its finished tasks. */
     var progressAt = Long.MIN_VALUE / 2
     val errorMachines = HashSet<String>()
@@ -131,6 +134,7 @@
         closing = false
         notBefore = Long.MIN_VALUE
         progressAt = Long.MIN_VALUE / 2
+        servedAt = 0L
         errorMachines.clear()
         badTries = 0
         runTime.clear()
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -133,6 +133,9 @@
 
     fun hasRoom(job: Job): Boolean = room.fits(job)
 
+    /** A task of [job] would fit if the machine were empty. */
+    fun couldHold(job: Job): Boolean = Room(rack).fits(job)
+
     /** A copy of what is free. */
     fun roomLeft() = room.copy()
 
--- a/src/main/kotlin/ledgearch/core/Placement.kt
+++ b/src/main/kotlin/ledgearch/core/Placement.kt
@@ -33,6 +33,9 @@
             if (value != field) machine.recounting(this) { field = value }
         }
 
+    /** Its job had starved: it is not stopped for others, for which the job would only starve again. */
+    var spared = false
+
     /** The worker has listed it. */
     var seen = false
 
--- a/src/main/kotlin/ledgearch/core/Teams.kt
+++ b/src/main/kotlin/ledgearch/core/Teams.kt
@@ -104,12 +104,14 @@
 
     /**
      * Without a task of [job] its team would still have its whole guarantee. Counted without what is already being
-     * stopped: two teams near their guarantees would otherwise stop each other's tasks in turn for ever.
+     * stopped, or as good as [given] up: two teams near their guarantees would otherwise stop each other's tasks in turn
+     * for ever.
      */
-    fun canSpare(job: Job): Boolean {
+    fun canSpare(job: Job, given: List<Job> = emptyList()): Boolean {
         val use = uses[job.spec.crew] ?: return false
-        return use.keptCpus - job.spec.vcpus >= use.team.cpus - Machine.ROUNDING &&
-            use.keptGpus - job.spec.accelerators >= use.team.gpus - Machine.ROUNDING
+        val ours = given.filter { it.spec.crew == job.spec.crew }
+        return use.keptCpus - job.spec.vcpus - ours.sumOf { it.spec.vcpus } >= use.team.cpus - Machine.ROUNDING &&
+            use.keptGpus - job.spec.accelerators - ours.sumOf { it.spec.accelerators } >= use.team.gpus - Machine.ROUNDING
     }
 
     /** How many more tasks of [job] its team's limit allows once what is being stopped is gone. */
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -1,5 +1,6 @@
 package ledgearch.core.placement
 
+import ledgearch.Tuning
 import ledgearch.core.Job
 import ledgearch.core.Machine
 import ledgearch.core.Now
@@ -32,6 +33,9 @@
     /** Sizes of tasks for which this pass has found no room anywhere. */
     private val misfits = Misfits()
 
+    /** Machines held for starved jobs. */
+    private val holds = HashMap<Job, Machine>()
+
     fun forget(job: Job) {
         bound.remove(job)?.forEach { it.unbind(job) }
     }
@@ -47,14 +51,16 @@
         lists = null
         bound.clear()
         hurriedImages.clear()
+        holds.clear()
     }
 
     fun pass(jobs: Collection<Job>) {
         val open = jobs.filter { it.startable(now.steady) }
         if (open.isEmpty()) return
-        val usable = machines.values.filter { usable(it) }
+        val all = machines.values.filter { usable(it) }
         misfits.clear()
         for (job in open) if (!job.standing && ranking.hurried(job)) hurriedImages.add(job.spec.recipe)
+        val usable = withoutHeld(serveStarved(open, all), all)
         val waiting = ArrayList<Job>()
         for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
             val ordered = ranking.order(sameUrgency)
@@ -69,6 +75,36 @@
         bindWaiting(waiting, usable)
     }
 
+    /**
+     * Starved jobs come first, with a part of their tasks, so that what else waits goes on being served. Where there is
+     * no room for one, a machine is held for it until there is: little tasks would take each piece of room that frees.
+     */
+    private fun serveStarved(open: List<Job>, usable: List<Machine>): Set<Machine> {
+        val starved = open.filter { it.placements.isEmpty() && ranking.starved(it) }.sortedBy { it.record.at }
+        val held = HashSet<Machine>()
+        for (job in starved) {
+            val free = withoutHeld(held, usable)
+            startAnywhere(job, free, leave = job.pendingCount - maxOf(1, job.pendingCount / Tuning.STARVED_PARTS))
+            job.placements.values.forEach { it.spared = true }
+            if (job.placements.isEmpty() && teams.allows(job) && held.size < Tuning.HELD_AT_ONCE) hold(job, free)?.let { held.add(it) }
+        }
+        if (starved.isEmpty()) holds.clear() else holds.keys.retainAll(starved.toSet())
+        return held
+    }
+
+    private fun withoutHeld(held: Set<Machine>, usable: List<Machine>) = if (held.isEmpty()) usable else usable.filter { it !in held }
+
+    /** The machine held for [job]: the same as before while it will do, else the one with most room that could take it. */
+    private fun hold(job: Job, free: List<Machine>): Machine? {
+        val zones = Zones(job)
+        val before = holds[job]
+        val m = if (before != null && before in free) before else free
+            .filter { it.allows(job) && zones.allows(it.hall) && it.couldHold(job) }
+            .minByOrNull { it.usedCpus }
+        if (m != null) holds[job] = m
+        return m
+    }
+
     /**
      * Hurried tasks for which room can't be made at once where their image is start anywhere, and before less urgent
      * work takes that room: the image is there for the next.
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -115,7 +115,7 @@
 
     private fun mayYield(job: Job, p: Placement): Boolean {
         val other = p.job ?: return false
-        return p.goesOn && other.spec.crew == job.spec.crew && other.urgency > job.urgency &&
+        return p.goesOn && !p.spared && other.spec.crew == job.spec.crew && other.urgency > job.urgency &&
             other.spec.vcpus >= job.spec.vcpus && other.spec.accelerators >= job.spec.accelerators
     }
 
@@ -187,12 +187,12 @@
     private fun victims(job: Job, guaranteed: Boolean, prospect: Prospect, sparing: Boolean): List<Placement>? {
         val room = prospect.room
         val candidates = prospect.machine.placements.values
-            .filter { it.goesOn && it.job != null && mayStop(job, guaranteed, it.job) && !(sparing && missed(it) > 0) }
+            .filter { it.goesOn && !it.spared && it.job != null && mayStop(job, guaranteed, it.job) && !(sparing && missed(it) > 0) }
         if (candidates.isEmpty()) return null
         val chosen = ArrayList<Placement>()
         for (c in candidates.map { cost(it) to it }.sortedBy { it.first }.map { it.second }) {
             // The team of an earlier choice may have nothing more to spare.
-            if (c.job != null && c.job.urgency == job.urgency && chosen.any { it.job?.spec?.crew == c.job.spec.crew }) continue
+            if (c.job != null && c.job.urgency == job.urgency && !teams.canSpare(c.job, chosen.mapNotNull { it.job })) continue
             chosen.add(c)
             room.give(c.job)
             if (room.fits(job)) break
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -1,5 +1,6 @@
 package ledgearch.core.placement
 
+import ledgearch.Tuning
 import ledgearch.config.Objective
 import ledgearch.config.startWithinS
 import ledgearch.core.Job
@@ -39,8 +40,14 @@
         return age(job) >= (within - job.spec.sizeGb * FETCH_S_PER_GB) / 2
     }
 
-    /** The job came less than [seconds] ago, and half the time in which it is to start is not over. */
-    fun patient(job: Job, seconds: Double) = age(job) < minOf(seconds, (startWithin[job.spec.menu] ?: Double.MAX_VALUE) / 2)
+    /** An array that came less than [seconds] ago, and half the time in which it is to start is not over. */
+    fun patient(job: Job, seconds: Double) = !job.standing && age(job) < minOf(seconds, (startWithin[job.spec.menu] ?: Double.MAX_VALUE) / 2)
+
+    /**
+     * No task of the job was started for so long that it goes before all others. Without this bound a steady stream of
+     * little or more urgent work would keep a large job waiting for ever.
+     */
+    fun starved(job: Job) = now.wall - maxOf(job.servedAt, job.record.at) > Tuning.STARVED_MS
 
     private class Rank(val job: Job, val lateness: Int, val cost: Double)
 
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -121,6 +121,7 @@
         }
         when (w[1]) {
             "running" -> world.running(w[2]).let { check("running ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
+            "begun" -> world.rules.startsOf(w[2]).let { check("begun ${w[2]}", it, it > 0) }
             "starts" -> world.rules.startsOf(w[2]).let { check("starts ${w[2]} at most ${w[3]}", it, it <= w[3].toInt()) }
             "failures" -> world.rules.failures.let { check("failures at most ${w[2]}", it, it <= w[2].toInt()) }
             "decisions" -> (world.rules.lastAttempt and 0xFFFFF).let { check("decisions at most ${w[2]}", it, it <= w[2].toInt()) }
