--- a/src/main/kotlin/ledgearch/core/placement/Reliability.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Reliability.kt
@@ -27,6 +27,9 @@
     /** Risky jobs that ordinary machines have room for, as last chosen. */
     private val sheltered = HashSet<Job>()
 
+    /** Jobs that should be sheltered, room or not. */
+    private val exposed = HashSet<Job>()
+
     /**
      * Chooses the risky jobs that are to keep to ordinary machines, of which [reserved] processors are left to work that
      * may go nowhere else. A job that is half on spot machines loses tasks nearly as often as one that is there as a
@@ -35,11 +38,13 @@
      */
     fun shelter(jobs: Collection<Job>, machines: Collection<Machine>, reserved: Double) {
         sheltered.clear()
+        exposed.clear()
         var room = machines.sumOf { if (it.borrowed || !it.inService) 0.0 else it.rack.vcpus } - reserved -
             jobs.sumOf { if (it.spec.borrowed) 0.0 else cpus(it) }
         val gains = jobs.filter { it.spec.borrowed && !it.complete && spotIsRisky(it) }.map { it to gain(it) }.filter { it.second > 0 }
         for ((job, _) in gains.sortedByDescending { it.second }) {
             val cpus = cpus(job)
+            exposed.add(job)
             if (cpus > room) continue
             room -= cpus
             sheltered.add(job)
@@ -50,13 +55,29 @@
 
     /** How many fewer aims the job is likely to miss, by the processor time that it takes. */
     private fun gain(job: Job): Double {
-        val missed = ranking.missedByLoss(job, estimates.seconds(job) / 2 + FOUND_OUT_S)
+        val missed = ranking.missedByLoss(job, delay(job))
         return (1 - exp(-expectedLosses(job))) * missed / (cpus(job) * estimates.seconds(job)).coerceAtLeast(1.0)
     }
 
+    /** Seconds by which lost tasks put off the end of a job: the last of them, and the last lost once more, and so on. */
+    private fun delay(job: Job): Double {
+        val seconds = estimates.seconds(job)
+        val lossesATask = losses / hours * seconds / SECONDS_PER_HOUR
+        var lost = expectedLosses(job)
+        var delay = 0.0
+        while (lost > EXPECTED_LOSSES && delay < MOST_DELAY_S) {
+            delay += seconds * lost / (lost + 1) + FOUND_OUT_S
+            lost *= lossesATask
+        }
+        return delay
+    }
+
     /** Spot machines come first for [job]: it is in little danger there, or ordinary ones are for others. */
     fun spotFirst(job: Job) = job !in sheltered
 
+    /** Ordinary machines are worth keeping for [job]. */
+    fun wantsOrdinary(job: Job) = !job.spec.borrowed || job in exposed
+
     private companion object {
         /** Machine hours of experience that the first guess counts for, and that guess in losses an hour. */
         const val PRIOR_HOURS = 0.3
@@ -66,6 +87,9 @@
         const val EXPECTED_LOSSES = 0.5
         /** Seconds until a machine that is gone without a word is found out. */
         const val FOUND_OUT_S = 10.0
+
+        /** Seconds. Beyond any time that jobs are asked to be done in. */
+        const val MOST_DELAY_S = 3_600.0
         const val MS_PER_HOUR = 3_600_000.0
         const val SECONDS_PER_HOUR = 3_600.0
     }
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -340,7 +340,7 @@
 
     /** What the tasks of [job] take if they belong on ordinary machines: they may not or should not run on spot. */
     private fun ordinaryCpus(holder: Holder, job: Job): Double =
-        if (job.placements.isEmpty() || (job.spec.borrowed && holder.reliability.spotFirst(job))) 0.0 else job.placements.size * job.spec.vcpus
+        if (!holder.reliability.wantsOrdinary(job)) 0.0 else job.placements.size * job.spec.vcpus
 
     /** Seconds until a machine of the quickest type is up. */
     fun bootS() = book().racks.values.minOfOrNull { it.startupS } ?: 0.0
