--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -211,8 +211,13 @@
     const val BAD_JOB_MS = 5_000L
     const val BAD_JOB_MAX_MS = 60_000L
 
-    /** Probes under way at one time: more would time out here, on a small share of a processor, and prove nothing. */
-    const val PROBES_AT_ONCE = 48
+    /**
+     * Probes under way at one time on a whole processor: their answers take a fraction of a probe's time to work off, so
+     * that none times out here and proves nothing. Fewer, and hundreds of dead machines would hold up a new holder.
+     */
+    private const val PROBES_A_PROCESSOR = 500
+
+    fun probesAtOnce(cpu: Double) = (PROBES_A_PROCESSOR * cpu.coerceIn(0.1, 1.0)).toInt()
 
     /** Reports in a row that show nothing of what the answers before them told: one may have been lost. */
     const val UNTAKEN_ANSWERS = 2
--- a/src/main/kotlin/ledgearch/core/Courier.kt
+++ b/src/main/kotlin/ledgearch/core/Courier.kt
@@ -17,6 +17,7 @@
     private val election: Election,
     private val now: Now,
     private val own: OwnTime,
+    private val probesAtOnce: Int,
     private val isHere: (Machine) -> Boolean,
     private val heard: (Machine, CheckIn) -> Unit,
 ) {
@@ -138,7 +139,7 @@
      * its session is another than the one known here, its answer tells which, and the token is shown once more.
      */
     fun probe(m: Machine, again: Boolean = false) {
-        if (m.pushing || (!again && (now.steady < m.probeAt || probesOpen >= Tuning.PROBES_AT_ONCE))) return
+        if (m.pushing || (!again && (now.steady < m.probeAt || probesOpen >= probesAtOnce))) return
         m.pushing = true
         m.probeAt = now.steady + Tuning.PROBE_MS
         probesOpen++
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -95,6 +95,10 @@
                 world.removeWorker(it)
                 world.cloud.taken(it)
             }
+            "take-last" -> world.cloud.names.toList().takeLast(w[1].toInt()).forEach {
+                world.removeWorker(it)
+                world.cloud.taken(it)
+            }
             "expect" -> expect(world, step)
             else -> failures.add("line ${step.line}: unknown step ${w[0]}")
         }
