--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -67,11 +67,11 @@
         return missed(job, end) - missed(job, end - ranS)
     }
 
-    /** How many more aims [job] misses when one of its tasks is lost and done [laterS] later than it would have been. */
-    fun missedByLoss(job: Job, laterS: Double): Int {
+    /** How many more aims [job], whose tasks take [seconds], misses when its end is put off by [delay] seconds. */
+    fun missedByLoss(job: Job, seconds: Double, delay: Double): Int {
         if (job.standing) return 0
-        val end = estimates.seconds(job) + if (job.placements.isEmpty()) age(job) else 0.0
-        return missed(job, end + laterS) - missed(job, end)
+        val end = seconds + if (job.placements.isEmpty()) age(job) else 0.0
+        return missed(job, end + delay) - missed(job, end)
     }
 
     private fun age(job: Job) = (now.wall - job.record.at) / 1000.0
--- a/src/main/kotlin/ledgearch/core/placement/Reliability.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Reliability.kt
@@ -55,21 +55,23 @@
 
     /** How many fewer aims the job is likely to miss, by the processor time that it takes. */
     private fun gain(job: Job): Double {
-        val missed = ranking.missedByLoss(job, delay(job))
-        return (1 - exp(-expectedLosses(job))) * missed / (cpus(job) * estimates.seconds(job)).coerceAtLeast(1.0)
+        val seconds = estimates.seconds(job)
+        val missed = (if (job.runTime.tasks > 0) KNOWN else GUESSED).map { missedOnSpot(job, seconds * it) }.average()
+        return missed / (cpus(job) * seconds).coerceAtLeast(1.0)
     }
 
-    /** Seconds by which lost tasks put off the end of a job: the last of them, and the last lost once more, and so on. */
-    private fun delay(job: Job): Double {
-        val seconds = estimates.seconds(job)
+    /** Aims that the job is likely to miss on spot machines if its tasks take [seconds]. */
+    private fun missedOnSpot(job: Job, seconds: Double): Double {
         val lossesATask = losses / hours * seconds / SECONDS_PER_HOUR
-        var lost = expectedLosses(job)
+        val expected = lossesATask * (job.spec.portions - job.finishedCount)
+        // Lost tasks put off the end: the last of them, and the last lost once more, and so on.
+        var lost = expected
         var delay = 0.0
         while (lost > EXPECTED_LOSSES && delay < MOST_DELAY_S) {
             delay += seconds * lost / (lost + 1) + FOUND_OUT_S
             lost *= lossesATask
         }
-        return delay
+        return (1 - exp(-expected)) * ranking.missedByLoss(job, seconds, delay)
     }
 
     /** Spot machines come first for [job]: it is in little danger there, or ordinary ones are for others. */
@@ -88,6 +90,10 @@
         /** Seconds until a machine that is gone without a word is found out. */
         const val FOUND_OUT_S = 10.0
 
+        /** What the run time may turn out to be, as factors on the estimate: owners are often wrong by half. */
+        val GUESSED = listOf(0.6, 1.0, 1.6)
+        val KNOWN = listOf(1.0)
+
         /** Seconds. Beyond any time that jobs are asked to be done in. */
         const val MOST_DELAY_S = 3_600.0
         const val MS_PER_HOUR = 3_600_000.0
