--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -27,7 +27,7 @@
     private var homeTurn = 0
     private var lists: PreferredLists? = null
 
-    /** Images of jobs that are to start at once; machines that have one are left to those while others have room. */
+    /** Images of arrays that are to start at once; machines that have one are left to those while others have room. */
     private val hurriedImages = HashSet<String>()
 
     /** Sizes of tasks for which this pass has found no room anywhere. */
@@ -59,7 +59,7 @@
         if (open.isEmpty()) return
         val all = machines.values.filter { usable(it) }
         misfits.clear()
-        for (job in open) if (ranking.hurried(job)) hurriedImages.add(job.spec.recipe)
+        for (job in open) if (!job.standing && ranking.hurried(job)) hurriedImages.add(job.spec.recipe)
         val usable = withoutHeld(serveStarved(open, all), all)
         val waiting = ArrayList<Job>()
         for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -324,12 +324,11 @@
         val used = load.value
         val ordinary = active.sumOf { if (it.borrowed) 0.0 else it.rack.vcpus }
         val reserve = holder.reserve.cpus(churn, bootS())
-        val ordinaryReserve = holder.reserve.ordinaryCpus(bootS())
         val fixed = active.filter { !it.borrowed }.groupingBy { it.hall }.eachCount()
         val m = active
             .filter { c -> now.steady - c.knownSince > Tuning.KEEP_MS }
             .filter { capacity - it.rack.vcpus >= used + reserve }
-            .filter { c -> c.borrowed || ordinary - c.rack.vcpus >= ordinaryLoad.value + ordinaryReserve }
+            .filter { c -> c.borrowed || ordinary - c.rack.vcpus >= ordinaryLoad.value }
             .filter { c -> c.borrowed || (fixed[c.hall] ?: 0) > 1 }
             .sortedWith(compareBy({ -price(it.rack, it.borrowed) }, { it.usedCpus }))
             .firstOrNull { holder.canMoveReplicas(it, active) } ?: return false
