--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -17,7 +17,7 @@
 import ledgearch.http.Request
 import ledgearch.http.Response
 import ledgearch.mesh.Mesh
-import ledgearch.mesh.Progress
+import ledgearch.mesh.Tidings
 import ledgearch.wire.WireJson
 import ledgearch.wire.WorkRequest
 import ledgearch.wire.WorkStatus
@@ -124,8 +124,8 @@
                 clock.after(300) { look(address) }
             }
 
-            override fun publish(progress: List<Progress>) {
-                for (node in nodes) if (node !== this@Node && node.up) deliver(name, node.name) { if (node.up) node.run(Command.News(progress)) }
+            override fun publish(tidings: Tidings) {
+                for (node in nodes) if (node !== this@Node && node.up) deliver(name, node.name) { if (node.up) node.run(Command.News(tidings)) }
             }
         }
 
