--- a/src/test/kotlin/ledgearch/world/Rules.kt
+++ b/src/test/kotlin/ledgearch/world/Rules.kt
@@ -29,6 +29,8 @@
 
     fun isAccepted(job: String) = job in accepted
 
+    val everyoneAccepted: Set<String> get() = accepted
+
     fun completedOf(job: String) = completed.count { it.substringBefore('/') == job }
 
     fun resultKept(portion: String) = portion in completed
@@ -64,7 +66,7 @@
         val everywhere = world.workers.values.filter { it.alive }.flatMap { w -> w.tasks.values.filter { it.here }.map { w to it } }
         if (everywhere.any { (w, t) -> w !== worker && t.portion == task.portion }) broken("ran_twice", "${task.portion} on ${worker.name}")
         val use = everywhere.mapNotNull { (_, t) -> spec(t.portion) }.filter { it.crew == spec.crew }.sumOf { it.vcpus }
-        if (use > World.TEAM_MAX) broken("quota", "${spec.crew} uses $use")
+        if (use > world.teamMax) broken("quota", "${spec.crew} uses $use")
         val siblings = everywhere.filter { (_, t) -> t.portion.substringBefore('/') == job }
         val here = siblings.count { (w, _) -> w.hall == worker.hall }
         if (spec.apart && here > (spec.portions + 1) / 2) broken("wrong_place", "${task.portion}: $here of ${spec.portions} in ${worker.hall}")
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -27,7 +27,7 @@
 
     /** What went wrong; empty when all is well. */
     fun play(): List<String> {
-        val world = World(options["nodes"]?.toInt() ?: 1, options["seed"]?.toLong() ?: 1, operator())
+        val world = World(options["nodes"]?.toInt() ?: 1, options["seed"]?.toLong() ?: 1, operator(), options["team-max"]?.toDouble() ?: World.TEAM_MAX)
         world.loss = options["loss"]?.toDouble() ?: 0.0
         world.cloud.capacity = options["capacity"]?.toInt() ?: 0
         // a+spot*20: so many spot machines in zone a.
@@ -139,6 +139,7 @@
             "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "up" -> world.ask("GET", "/up", null, w[2]) { check("up ${w[2]} ${w[3]}", it.status, it.status == w[3].toInt()) }
             "up-count" -> world.nodes.count { it.healthy }.let { check("up ${w[2]}", it, it == w[2].toInt()) }
+            "everyone-known" -> world.rules.everyoneAccepted.forEach { job -> expectAnswer(world, job, world.clock.now + FORGOTTEN_MS) { check("everyone known", "no answer for $job", false) } }
             "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
             "at-once" -> world.clock.now.let { asked ->
                 world.ask(w[2], w[3], w.getOrNull(5), null) {
@@ -150,6 +151,14 @@
         }
     }
 
+    /** Polls [job] about every 5 s, as users do, until it is answered or forgotten. */
+    private fun expectAnswer(world: World, job: String, until: Long, forgotten: () -> Unit) {
+        world.poll(job) { status, _ ->
+            if (status == 200) return@poll
+            if (world.clock.now > until) forgotten() else world.clock.after(5_000) { expectAnswer(world, job, until, forgotten) }
+        }
+    }
+
     /** A poll that gets no answer is repeated, as users do. */
     private fun expectState(world: World, job: String, wanted: String, tries: Int, wrong: (String) -> Unit) {
         world.poll(job) { status, state ->
@@ -187,6 +196,9 @@
     private companion object {
         const val TRIES = 4
         const val FIRST_OF_MANY = 1000
+
+        /** ms. A job with no question answered for so long is forgotten. */
+        const val FORGOTTEN_MS = 75_000L
         const val AT_ONCE_MS = 300L
     }
 }
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -24,7 +24,12 @@
 import kotlin.random.Random
 
 /** Controllers, stand-ins of everything around them and a network between, all on one simulated clock. */
-internal class World(nodeCount: Int, seed: Long, private val operator: OperatorSettings = OperatorSettings()) {
+internal class World(
+    nodeCount: Int,
+    seed: Long,
+    private val operator: OperatorSettings = OperatorSettings(),
+    val teamMax: Double = TEAM_MAX,
+) {
     val clock = Clockwork()
     val random = Random(seed)
     val rules = Rules(this)
@@ -59,7 +64,7 @@
             outside = OutsideAddresses("cloud:1", "state:1"),
             deployment = Deployment(
                 zones = listOf("a", "b"),
-                teams = listOf(Team("red", 8.0, TEAM_MAX, gpusMax = 2.0), Team("blue", 8.0, TEAM_MAX)),
+                teams = listOf(Team("red", 8.0, teamMax, gpusMax = 2.0), Team("blue", 8.0, teamMax)),
                 objectives = listOf(Objective("wait", "web", 1.0, 0.9)),
                 workers = WorkerTimes(reportMs / 1000.0, leaseMs / 1000.0, CANCEL_MS / 1000.0),
                 state = StateLimits(200.0, 60.0, 8.0, 16),
