--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -29,6 +29,7 @@
     seed: Long,
     private val operator: OperatorSettings = OperatorSettings(),
     val teamMax: Double = TEAM_MAX,
+    val reportMs: Long = 3000L,
 ) {
     val clock = Clockwork()
     val random = Random(seed)
@@ -37,7 +38,6 @@
     val cloud = CloudStandIn(this)
     val workers = LinkedHashMap<String, WorkerStandIn>()
     val notes = ArrayList<String>()
-    val reportMs = 3000L
     val leaseMs = 14_000L
     val fetchMs = 1000L
     val nodes = List(nodeCount) { Node("n${it + 1}", nodeCount) }
