--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -20,7 +20,7 @@
 import ledgearch.http.Response
 import ledgearch.mesh.MeshEvents
 import ledgearch.mesh.MeshLinks
-import ledgearch.mesh.Tidings
+import ledgearch.mesh.Progress
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.nio.channels.AsynchronousChannelGroup
@@ -95,7 +95,7 @@
     }
 
     private inner class OwnerEvents : MeshEvents {
-        override suspend fun news(tidings: Tidings) = put(Command.News(tidings))
+        override suspend fun news(progress: List<Progress>) = put(Command.News(progress))
 
         override suspend fun refused(address: String) = put(Command.PeerRefused(address))
     }
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -12,7 +12,6 @@
 import ledgearch.leader.ElectionListener
 import ledgearch.mesh.Mesh
 import ledgearch.mesh.Progress
-import ledgearch.mesh.Tidings
 import ledgearch.state.StateClient
 import ledgearch.wire.CheckIn
 import ledgearch.wire.CheckInReply
@@ -27,7 +26,7 @@
     class Serve(val request: Request, val respond: (Response) -> Unit) : Command
 
     /** The holder tells how its jobs go. */
-    class News(val tidings: Tidings) : Command
+    class News(val progress: List<Progress>) : Command
 
     /** The controller at this mesh address refuses connections after one of its own ended. */
     class PeerRefused(val address: String) : Command
@@ -61,9 +60,6 @@
     private var publishAt = 0L
     private var publishedTo = 0
 
-    /** Steady ms when the holder last told that it has lost the state service too. */
-    private var holderLostStateAt = Long.MIN_VALUE / 2
-
     init {
         journal.onClosed = { job, record -> book.rememberFinal(job.id, record) }
     }
@@ -77,7 +73,7 @@
             when (command) {
                 is Command.Serve -> serve(command.request, command.respond)
                 is Command.Answered -> command.done(command.reply)
-                is Command.News -> told(command.tidings)
+                is Command.News -> command.progress.forEach { book.jobs[it.job]?.shown = it }
                 is Command.PeerRefused -> members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
                 Command.Tick -> own.ticked()
             }
@@ -105,7 +101,7 @@
             if (!all && p == job.shown) null else p.also { job.shown = it }
         }
         // Empty frames too: they show that this node lives.
-        mesh.publish(Tidings(news, stateLost))
+        mesh.publish(news)
     }
 
     private fun serve(request: Request, respond: (Response) -> Unit) {
@@ -128,18 +124,7 @@
     private fun report() =
         metrics.report(node, election.token, book.jobs.size, holder.machines.size, holder.machines.values.sumOf { it.placements.size })
 
-    private val stateLost: Boolean get() = now.steady - state.lastAnswer >= Tuning.STATE_SILENT_MS
-
-    /**
-     * A node that alone has lost the state service sends its users elsewhere. In an outage for all there is no elsewhere:
-     * nodes that left the load balancer then would come back to it long after the outage.
-     */
-    private fun healthy() = book.loaded && book.racks.isNotEmpty() && (!stateLost || now.steady - holderLostStateAt < Tuning.STATE_SILENT_MS)
-
-    private fun told(tidings: Tidings) {
-        tidings.progress.forEach { book.jobs[it.job]?.shown = it }
-        if (tidings.stateLost) holderLostStateAt = now.steady
-    }
+    private fun healthy() = book.loaded && book.racks.isNotEmpty() && now.steady - state.lastAnswer < Tuning.STATE_SILENT_MS
 
     private fun checkIn(body: String, respond: (Response) -> Unit) {
         if (!election.holding) return respond(elsewhere())
--- a/src/main/kotlin/ledgearch/mesh/Mesh.kt
+++ b/src/main/kotlin/ledgearch/mesh/Mesh.kt
@@ -5,8 +5,8 @@
     /** Keeps a connection to [address], or to nobody; news and its end come back as commands. */
     fun follow(address: String?)
 
-    /** Sends [tidings] to all that follow this node. */
-    fun publish(tidings: Tidings)
+    /** Sends [progress] to all that follow this node. */
+    fun publish(progress: List<Progress>)
 
     /** How many follow this node; counts connections that were ever made, so that a newcomer is noticed. */
     val joined: Int
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -138,7 +138,6 @@
             "holder" -> holder(world).let { check("holder ${w[2]}", it, if (w[2] == "any") it != "none" else if (w[2].startsWith("not-")) it != "none" && "not-$it" != w[2] else it == w[2]) }
             "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "up" -> world.ask("GET", "/up", null, w[2]) { check("up ${w[2]} ${w[3]}", it.status, it.status == w[3].toInt()) }
-            "up-count" -> world.nodes.count { it.healthy }.let { check("up ${w[2]}", it, it == w[2].toInt()) }
             "everyone-known" -> world.rules.everyoneAccepted.forEach { job -> expectAnswer(world, job, world.clock.now + FORGOTTEN_MS) { check("everyone known", "no answer for $job", false) } }
             "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
             "at-once" -> world.clock.now.let { asked ->
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -17,7 +17,7 @@
 import ledgearch.http.Request
 import ledgearch.http.Response
 import ledgearch.mesh.Mesh
-import ledgearch.mesh.Tidings
+import ledgearch.mesh.Progress
 import ledgearch.wire.WireJson
 import ledgearch.wire.WorkRequest
 import ledgearch.wire.WorkStatus
@@ -129,8 +129,8 @@
                 clock.after(300) { look(address) }
             }
 
-            override fun publish(tidings: Tidings) {
-                for (node in nodes) if (node !== this@Node && node.up) deliver(name, node.name) { if (node.up) node.run(Command.News(tidings)) }
+            override fun publish(progress: List<Progress>) {
+                for (node in nodes) if (node !== this@Node && node.up) deliver(name, node.name) { if (node.up) node.run(Command.News(progress)) }
             }
         }
 
