--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -219,9 +219,6 @@
 
     fun probesAtOnce(cpu: Double) = (PROBES_A_PROCESSOR * cpu.coerceIn(0.1, 1.0)).toInt()
 
-    /** Reports in a row that show nothing of what the answers before them told: one may have been lost. */
-    const val UNTAKEN_ANSWERS = 2
-
     /** ms. Between two looks for silent machines: a fraction of a report interval. */
     const val WATCH_SILENCE_MS = 250L
 
--- a/src/main/kotlin/ledgearch/core/Courier.kt
+++ b/src/main/kotlin/ledgearch/core/Courier.kt
@@ -84,7 +84,6 @@
 
     /** The machine took what it was sent. */
     fun reached(m: Machine) {
-        m.untaken = 0
         m.probesFailed = 0
         m.pushBroken = false
         m.brokenSince = 0L
@@ -149,7 +148,10 @@
             m.pushing = false
             probesOpen--
             if (answer == null) {
-                if (own.lateAt < sentAt) m.probesFailed++
+                if (own.lateAt < sentAt) {
+                    m.probesFailed++
+                    if (!m.confirmed) missed(m)
+                }
                 return@direct
             }
             if (isHere(m)) heard(m, answer)
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -203,7 +203,6 @@
             val p = if (order.verb == Verbs.START) m.placements.get(order.`try`) else null
             if (p != null) p.sentInReplyTo = maxOf(p.sentInReplyTo, report.ticket)
         }
-        m.told = orders
         return orders
     }
 
@@ -212,25 +211,6 @@
         if (answer.baton > election.token) election.lose("a worker has seen token ${answer.baton}") else hear(m, answer, isReport = false)
     }
 
-    /**
-     * Whether what the last answer told shows in this report. A worker that takes answers carries orders out before it
-     * reports again.
-     */
-    private fun checkTaken(m: Machine) {
-        if (m.told.isEmpty()) return
-        val taken = m.told.any { order ->
-            val p = m.placements.get(order.`try`)
-            when {
-                p == null -> true
-                order.verb == Verbs.START -> p.seen
-                order.verb == Verbs.HALT -> p.exited || p.status == TaskStatus.SAVING
-                else -> false
-            }
-        }
-        m.told = emptyList()
-        if (taken) courier.reached(m) else if (++m.untaken >= Tuning.UNTAKEN_ANSWERS && own.lateAt < now.steady - Tuning.PUSH_MS) courier.missed(m)
-    }
-
     /** A machine without a record: nothing was ever started on it, since the record comes first. */
     private fun adopt(report: CheckIn): Machine? {
         val rack = book.racks[report.rack] ?: return null
@@ -269,6 +249,7 @@
             // One without a record is shown the token directly: the report may be a copy, and the machine gone.
             if (report.baton < tenure || !ready || (isReport && !m.inherited)) return
             m.confirm()
+            courier.reached(m)
             unconfirmed.remove(m)
             if (!m.durable) journal.bind(m)
             placer.machinesChanged()
@@ -276,7 +257,6 @@
             dirty = true
         }
         listTasks(m, report.portions)
-        if (isReport) checkTaken(m)
         if (m.recallAt != 0L) leave(m)
     }
 
@@ -302,7 +282,6 @@
         m.shift = shift
         m.ticket = 0
         m.reportTicket = 0
-        m.told = emptyList()
         dirty = true
     }
 
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -2,7 +2,6 @@
 
 import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap
 import ledgearch.core.placement.MachineQueue
-import ledgearch.wire.Order
 import ledgearch.wire.Rack
 
 /** A machine of the block, as its holder knows it. */
@@ -46,10 +45,6 @@
 
     /** Steady ms since when nothing sent has reached the machine, or 0. */
     var brokenSince = 0L
-
-    /** Orders in the last answer to a report, and how many reports in a row show none of them carried out. */
-    var told: List<Order> = emptyList()
-    var untaken = 0
     var probeAt = 0L
     var probesFailed = 0
 
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -63,6 +63,8 @@
             "cut" -> world.cut(named(1), w[2], seconds(4), w[5] == "hold")
             // deaf MACHINE until S: its reports arrive, but nothing reaches it.
             "deaf" -> world.cut("nodes", host(world, w[1]), seconds(3), hold = false, oneWay = true)
+            // uncommanded MACHINE: answers to its reports reach it, direct commands do not.
+            "uncommanded" -> world.uncommanded.add(host(world, w[1]))
             // copies SHARE within S: of that share of reports from now on a copy comes up to so much later.
             "copies" -> {
                 world.copied = w[1].toDouble()
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -148,8 +148,12 @@
         }
     }
 
+    /** Machines that direct commands do not reach. */
+    val uncommanded = HashSet<String>()
+
     /** One message and its answer; either may be late or lost. */
     fun send(from: String, to: String, method: String, target: String, body: String?, answer: (Reply) -> Unit) {
+        if (to in uncommanded) return
         deliver(from, to) {
             handle(to, method, target, body) { reply -> deliver(to, from) { answer(reply) } }
         }
