--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -257,6 +257,50 @@
     /** Machines. Held at one time for starved jobs that find no room: they stand partly idle meanwhile. */
     const val HELD_AT_ONCE = 3
 
+    // --- Placement: what things are worth ---
+    /** Seconds that a job waits for room to free by itself, at most half the time in which it is to start. */
+    const val PATIENCE_S = 2.0
+
+    /** Processor seconds. What a start is worth by itself: its image is there, its users see it run. */
+    const val WORTH_STARTED = 5.0
+
+    /** Processor seconds. What an image that is already there, or half there, is worth. */
+    const val WORTH_IMAGE = 20.0
+
+    /** Processor seconds. What an aim missed is worth: about the work of a job. */
+    const val WORTH_AIM = 500.0
+
+    /** Processor seconds. More than any task's work, so that the least urgent is always stopped first. */
+    const val WORTH_URGENCY = 1e6
+
+    /** Share of a job's tasks' worth of work that a second of waiting makes up for. */
+    const val AGE_CREDIT = 0.25
+
+    /** Seconds a gigabyte: what the slowest of the usual machine types take. */
+    const val FETCH_S_PER_GB = 4.0
+
+    /** Machine hours of experience that the first guess counts for, and that guess in losses an hour. */
+    const val LOSS_PRIOR_HOURS = 0.3
+
+    const val LOSS_PRIOR_RATE = 2.0
+
+    /** Expected lost tasks: at 0.5 the chance of losing at least one is 40%. */
+    const val EXPECTED_LOSSES = 0.5
+
+    /** Seconds until a machine that is gone without a word is found out. */
+    const val FOUND_OUT_S = 10.0
+
+    /** What the run time may turn out to be, as factors on the estimate: owners are often wrong by half. */
+    val RUN_TIMES_GUESSED = listOf(0.6, 1.0, 1.6)
+
+    val RUN_TIMES_KNOWN = listOf(1.0)
+
+    /** Seconds. Beyond any time that jobs are asked to be done in. */
+    const val MOST_DELAY_S = 3_600.0
+
+    /** Jobs after which older ones fade. */
+    const val ESTIMATE_JOBS = 20.0
+
     // --- Fleet ------------------------------------------------------------------------------------------------
     /** ms. Between two readings of the machine list. */
     const val LIST_MS = 4_000L
--- a/src/main/kotlin/ledgearch/core/placement/Estimates.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Estimates.kt
@@ -1,5 +1,6 @@
 package ledgearch.core.placement
 
+import ledgearch.Tuning
 import ledgearch.core.Job
 import kotlin.math.exp
 import kotlin.math.ln
@@ -23,7 +24,7 @@
         // Every job counts the same, however many tasks it has.
         val w = 1.0 / job.spec.portions
         val s = seen.getOrPut(job.spec.menu) { Seen() }
-        s.weight = minOf(s.weight + w, MEMORY)
+        s.weight = minOf(s.weight + w, Tuning.ESTIMATE_JOBS)
         s.logRatio += (ln(seconds / job.spec.cookS) - s.logRatio) * minOf(1.0, w / s.weight)
     }
 
@@ -39,9 +40,4 @@
     fun freedASecond(jobs: Collection<Job>): Double = jobs.sumOf { job ->
         if (job.standing || job.runningCount == 0) 0.0 else job.runningCount * job.spec.vcpus / maxOf(seconds(job), 1.0)
     }
-
-    private companion object {
-        /** Jobs after which older ones fade. */
-        const val MEMORY = 20.0
-    }
 }
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -37,9 +37,9 @@
      * processors that running tasks free. Where that much frees soon, nothing is stopped for a job that has just come.
      */
     fun pass(waiting: List<Job>, usable: List<Machine>, freesASecond: Double) {
-        var freed = freesASecond * PATIENCE_S * Tuning.CHURN_COUNTED
+        var freed = freesASecond * Tuning.PATIENCE_S * Tuning.CHURN_COUNTED
         val claimants = waiting.filter { job ->
-            val served = ranking.patient(job, PATIENCE_S) && freed >= job.pendingCount * job.spec.vcpus
+            val served = ranking.patient(job, Tuning.PATIENCE_S) && freed >= job.pendingCount * job.spec.vcpus
             freed -= job.pendingCount * job.spec.vcpus
             !served && (teams.anyLessUrgent(job) || mayClaim(job, 1))
         }
@@ -180,7 +180,7 @@
 
         private fun offer(p: Prospect): Offer? {
             val victims = victims(job, guaranteed, p, sparing) ?: return null
-            return Offer(p, victims, victims.sumOf { cost(it) } + p.machine.imageDistance(job.spec.recipe) * FETCH)
+            return Offer(p, victims, victims.sumOf { cost(it) } + p.machine.imageDistance(job.spec.recipe) * Tuning.WORTH_IMAGE)
         }
     }
 
@@ -213,7 +213,7 @@
      */
     private fun cost(p: Placement): Double {
         val job = p.job ?: return 0.0
-        return spent(p) + missed(p) * AIM + (Urgencies.ORDER.size - 1 - job.urgency) * URGENCY
+        return spent(p) + missed(p) * Tuning.WORTH_AIM + (Urgencies.ORDER.size - 1 - job.urgency) * Tuning.WORTH_URGENCY
     }
 
     /** Aims that the job of [p] meets only if [p] goes on; none if other tasks of it wait to be started anyway. */
@@ -225,23 +225,6 @@
 
     private fun spent(p: Placement): Double {
         val since = if (p.status == TaskStatus.RUNNING) p.runningSince else p.decidedAt
-        return (now.steady - since) / 1000.0 * (p.job?.spec?.vcpus ?: 0.0) + (if (p.status == TaskStatus.RUNNING) STARTED else 0.0)
-    }
-
-    private companion object {
-        /** Seconds that a job waits for room to free by itself, at most half the time in which it is to start. */
-        const val PATIENCE_S = 2.0
-
-        /** Processor seconds. What a start is worth by itself: its image is there, its users see it run. */
-        const val STARTED = 5.0
-
-        /** Processor seconds. What an image that is already there, or half there, is worth. */
-        const val FETCH = 20.0
-
-        /** Processor seconds. What an aim missed is worth: about the work of a job. */
-        const val AIM = 500.0
-
-        /** Processor seconds. More than any task's work, so that the least urgent is always stopped first. */
-        const val URGENCY = 1e6
+        return (now.steady - since) / 1000.0 * (p.job?.spec?.vcpus ?: 0.0) + (if (p.status == TaskStatus.RUNNING) Tuning.WORTH_STARTED else 0.0)
     }
 }
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -26,7 +26,7 @@
     /** The job's class is to start sooner than an image can be fetched, and it is not too late for that. */
     fun hurried(job: Job): Boolean {
         val within = startWithin[job.spec.menu] ?: return false
-        return within < job.spec.sizeGb * FETCH_S_PER_GB && age(job) < within
+        return within < job.spec.sizeGb * Tuning.FETCH_S_PER_GB && age(job) < within
     }
 
     private val guaranteeWithin: Double? = objectives.filter { it.kind == "guarantee" }.mapNotNull { it.withinS }.minOrNull()
@@ -37,7 +37,7 @@
      */
     fun claims(job: Job): Boolean {
         val within = guaranteeWithin ?: return true
-        return age(job) >= (within - job.spec.sizeGb * FETCH_S_PER_GB) / 2
+        return age(job) >= (within - job.spec.sizeGb * Tuning.FETCH_S_PER_GB) / 2
     }
 
     /** An array that came less than [seconds] ago, and half the time in which it is to start is not over. */
@@ -88,14 +88,6 @@
         val age = age(job)
         if (job.standing) return -age
         val work = job.pendingCount * job.spec.vcpus * estimates.seconds(job)
-        return work - age * job.spec.vcpus * job.spec.portions * AGE_CREDIT
-    }
-
-    private companion object {
-        /** Share of a job's tasks' worth of work that a second of waiting makes up for. */
-        const val AGE_CREDIT = 0.25
-
-        /** Seconds a gigabyte: what the slowest of the usual machine types take. */
-        const val FETCH_S_PER_GB = 4.0
+        return work - age * job.spec.vcpus * job.spec.portions * Tuning.AGE_CREDIT
     }
 }
--- a/src/main/kotlin/ledgearch/core/placement/Reliability.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Reliability.kt
@@ -1,13 +1,14 @@
 package ledgearch.core.placement
 
+import ledgearch.Tuning
 import ledgearch.core.Job
 import ledgearch.core.Machine
 import kotlin.math.exp
 
 /** How often spot machines are lost, from what was seen, and what that means for a job. */
 internal class Reliability(private val estimates: Estimates, private val ranking: Ranking) {
-    private var hours = PRIOR_HOURS
-    private var losses = PRIOR_HOURS * PRIOR_RATE
+    private var hours = Tuning.LOSS_PRIOR_HOURS
+    private var losses = Tuning.LOSS_PRIOR_HOURS * Tuning.LOSS_PRIOR_RATE
     private var countedAt = 0L
 
     fun count(machines: Collection<Machine>, nowMs: Long) {
@@ -20,7 +21,7 @@
     }
 
     /** More likely than not the job would lose a task on spot machines, and be late by as much as it had run. */
-    fun spotIsRisky(job: Job): Boolean = expectedLosses(job) > EXPECTED_LOSSES
+    private fun spotIsRisky(job: Job): Boolean = expectedLosses(job) > Tuning.EXPECTED_LOSSES
 
     private fun expectedLosses(job: Job) = losses / hours * estimates.seconds(job) / SECONDS_PER_HOUR * (job.spec.portions - job.finishedCount)
 
@@ -56,7 +57,7 @@
     /** How many fewer aims the job is likely to miss, by the processor time that it takes. */
     private fun gain(job: Job): Double {
         val seconds = estimates.seconds(job)
-        val missed = (if (job.runTime.tasks > 0) KNOWN else GUESSED).map { missedOnSpot(job, seconds * it) }.average()
+        val missed = (if (job.runTime.tasks > 0) Tuning.RUN_TIMES_KNOWN else Tuning.RUN_TIMES_GUESSED).map { missedOnSpot(job, seconds * it) }.average()
         return missed / (cpus(job) * seconds).coerceAtLeast(1.0)
     }
 
@@ -67,8 +68,8 @@
         // Lost tasks put off the end: the last of them, and the last lost once more, and so on.
         var lost = expected
         var delay = 0.0
-        while (lost > EXPECTED_LOSSES && delay < MOST_DELAY_S) {
-            delay += seconds * lost / (lost + 1) + FOUND_OUT_S
+        while (lost > Tuning.EXPECTED_LOSSES && delay < Tuning.MOST_DELAY_S) {
+            delay += seconds * lost / (lost + 1) + Tuning.FOUND_OUT_S
             lost *= lossesATask
         }
         return (1 - exp(-expected)) * ranking.missedByLoss(job, seconds, delay)
@@ -81,21 +82,6 @@
     fun wantsOrdinary(job: Job) = !job.spec.borrowed || job in exposed
 
     private companion object {
-        /** Machine hours of experience that the first guess counts for, and that guess in losses an hour. */
-        const val PRIOR_HOURS = 0.3
-        const val PRIOR_RATE = 2.0
-
-        /** Expected lost tasks: at 0.5 the chance of losing at least one is 40%. */
-        const val EXPECTED_LOSSES = 0.5
-        /** Seconds until a machine that is gone without a word is found out. */
-        const val FOUND_OUT_S = 10.0
-
-        /** What the run time may turn out to be, as factors on the estimate: owners are often wrong by half. */
-        val GUESSED = listOf(0.6, 1.0, 1.6)
-        val KNOWN = listOf(1.0)
-
-        /** Seconds. Beyond any time that jobs are asked to be done in. */
-        const val MOST_DELAY_S = 3_600.0
         const val MS_PER_HOUR = 3_600_000.0
         const val SECONDS_PER_HOUR = 3_600.0
     }
--- a/src/main/kotlin/ledgearch/intake/Intake.kt
+++ b/src/main/kotlin/ledgearch/intake/Intake.kt
@@ -285,7 +285,7 @@
 
     private fun openStatus(job: Job): WorkStatus {
         val running = if (grant.holding) job.runningCount else job.shown?.running ?: 0
-        val done = if (grant.holding) job.finished.cardinality() else job.shown?.done ?: 0
+        val done = if (grant.holding) job.finishedCount else job.shown?.done ?: 0
         return WorkStatus(job.id, if (running > 0) WorkStates.RUNNING else WorkStates.PENDING, done, running)
     }
 
