--- a/src/main/kotlin/ledgearch/core/MachineRecords.kt
+++ b/src/main/kotlin/ledgearch/core/MachineRecords.kt
@@ -1,5 +1,6 @@
 package ledgearch.core
 
+import kotlinx.serialization.json.JsonObject
 import ledgearch.Tuning
 import ledgearch.wire.Change
 import ledgearch.wire.KeyValue
@@ -52,7 +53,11 @@
 
     /** Machines of a record read by a new holder. */
     fun restore(name: String, pair: KeyValue, teams: Teams, nowMs: Long): List<Machine> {
-        val record = decodeRecord(MachinesRecord.serializer(), pair.v) ?: return emptyList()
+        val record = if ((pair.v as? JsonObject)?.containsKey("endpoint") == true) {
+            decodeRecord(SingleMachineRecord.serializer(), pair.v)?.asOneOf(name)
+        } else {
+            decodeRecord(MachinesRecord.serializer(), pair.v)
+        } ?: return emptyList()
         val group = Group(name).also {
             it.dirty = false
             groups[name] = it
--- a/src/main/kotlin/ledgearch/core/Records.kt
+++ b/src/main/kotlin/ledgearch/core/Records.kt
@@ -55,6 +55,18 @@
 @Serializable
 internal data class MachinesRecord(val block: Int, val racks: List<Rack>, val machines: List<MachineEntry>)
 
+/** The form of earlier versions: one machine a record, by its name. */
+@Serializable
+internal data class SingleMachineRecord(
+    val endpoint: String,
+    val rack: Rack,
+    val hall: String,
+    val borrowed: Boolean,
+    val aside: Boolean = false,
+) {
+    fun asOneOf(name: String) = MachinesRecord(0, listOf(rack), listOf(MachineEntry(name, endpoint, 0, hall, borrowed, aside)))
+}
+
 /** One of them, with the place of its type among the record's. [aside]: it fails what it starts, and gets nothing new. */
 @Serializable
 internal data class MachineEntry(
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -75,6 +75,8 @@
                 node.crash()
                 world.clock.after(seconds(3)) { if (!node.up) node.start() }
             }
+            // write KEY JSON: with no spaces.
+            "write" -> world.state.write(w[1], w[2])
             "state-down" -> world.state.outage(true)
             "state-up" -> world.state.outage(false)
             "cloud-down" -> world.cloud.down = true
--- a/src/test/kotlin/ledgearch/world/StateStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/StateStandIn.kt
@@ -145,6 +145,13 @@
     /** A field of a stored value, for expectations. */
     fun field(key: String, name: String): String? = ((keys[key]?.v as? JsonObject)?.get(name))?.jsonPrimitive?.content
 
+    /** A key as something else wrote it. */
+    fun write(key: String, json: String) {
+        edition++
+        set(key, Entry(WireJson.parseToJsonElement(json), edition, null))
+        wake()
+    }
+
     fun text(key: String) = keys[key]?.v.toString()
 
     fun stamp(key: String): Long = keys[key]?.stamp ?: 0
