--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -219,6 +219,12 @@
 
     fun probesAtOnce(cpu: Double) = (PROBES_A_PROCESSOR * cpu.coerceIn(0.1, 1.0)).toInt()
 
+    /** Orders. In one message, of at most 64 KiB: an order takes some 80 bytes, more with long names. */
+    const val ORDERS_AT_ONCE = 400
+
+    /** Tasks. On one machine, so that its report, some 110 bytes a task, stays under 64 KiB. */
+    const val MACHINE_TASKS = 400
+
     /** ms. Between two looks for silent machines: a fraction of a report interval. */
     const val WATCH_SILENCE_MS = 250L
 
--- a/src/main/kotlin/ledgearch/core/Courier.kt
+++ b/src/main/kotlin/ledgearch/core/Courier.kt
@@ -67,7 +67,8 @@
                 !p.seen -> starts.add(Order(Verbs.START, p.task, p.attempt))
             }
         }
-        return halts + starts
+        // A message has a size that it may not pass; what is left over goes with the next one.
+        return (halts + starts).take(Tuning.ORDERS_AT_ONCE)
     }
 
     fun drive() {
@@ -118,6 +119,7 @@
             // A time-out of our own, while this node was behind with its work, says nothing about the machine.
             if (answer == null && own.lateAt < sentAt) missed(m)
             if (answer != null && isHere(m)) heard(m, answer)
+            if (list.size == Tuning.ORDERS_AT_ONCE) want(m)
         }
     }
 
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -1,6 +1,7 @@
 package ledgearch.core
 
 import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap
+import ledgearch.Tuning
 import ledgearch.core.placement.MachineQueue
 import ledgearch.wire.Rack
 
@@ -126,7 +127,7 @@
         return room.isAbout(fresh) && fetching == here.count { it.status == TaskStatus.FETCHING || it.status == TaskStatus.DECIDED }
     }
 
-    fun hasRoom(job: Job): Boolean = room.fits(job)
+    fun hasRoom(job: Job): Boolean = placements.size < Tuning.MACHINE_TASKS && room.fits(job)
 
     /** A task of [job] would fit if the machine were empty. */
     fun couldHold(job: Job): Boolean = Room(rack).fits(job)
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -185,7 +185,7 @@
             portions = o["tasks"]?.toInt() ?: 1,
             vcpus = o["cpus"]?.toDouble() ?: 2.0,
             accelerators = o["gpus"]?.toDouble() ?: 0.0,
-            memoryGb = 1.0,
+            memoryGb = o["mem"]?.toDouble() ?: 1.0,
             hall = o["hall"],
             samePlace = o["together"] == "yes",
             apart = o["apart"] == "yes",
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -154,6 +154,7 @@
     /** One message and its answer; either may be late or lost. */
     fun send(from: String, to: String, method: String, target: String, body: String?, answer: (Reply) -> Unit) {
         if (to in uncommanded) return
+        if ((body?.length ?: 0) > MAX_BODY) rules.violations.add("${clock.now} ms: a body of ${body?.length} bytes from $from to $to")
         deliver(from, to) {
             handle(to, method, target, body) { reply -> deliver(to, from) { answer(reply) } }
         }
@@ -261,6 +262,7 @@
     }
 
     companion object {
+        private const val MAX_BODY = 64 * 1024
         const val TEAM_MAX = 24.0
         const val CANCEL_MS = 39_000L
         private fun matches(pattern: String, name: String) = pattern == name ||
