--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -74,6 +74,7 @@
     fun begin(token: Long) {
         end()
         tenure = token
+        attemptSeq = 0
         for (job in book.jobs.values) {
             job.trusted = job.stamp > tenure && !job.record.cancel
             if (job.record.cancel) cancelled.add(job)
@@ -418,7 +419,7 @@
 
     private fun start(job: Job, index: Int, m: Machine) {
         metrics.count("task.started")
-        val attempt = (tenure shl ATTEMPT_BITS) or (++attemptSeq and ((1L shl ATTEMPT_BITS) - 1))
+        val attempt = (tenure shl Tuning.ATTEMPT_BITS) or ++attemptSeq
         val p = Placement(job, "${job.id}/$index", index, attempt, m, now.steady)
         m.attach(p)
         job.place(p)
@@ -485,6 +486,8 @@
         if (tenure == 0L || !election.holding) return
         readOn()
         if (!ready) return
+        // A number used twice could be taken for the attempt that a replica has run under since long ago.
+        if (attemptSeq > Tuning.ATTEMPTS_A_TENURE) return election.giveUp("attempt numbers are used up")
         confirm()
         closeCancelled()
         silence.drive()
@@ -552,9 +555,4 @@
     /** Whether the counts kept as attempts come and go are those of a recount. */
     fun countsHold() = machines.values.all { it.countsHold() } && teams.countsHold(machines.values) &&
         book.jobs.values.all { job -> tenure == 0L || job.runningCount == job.placements.values.count { it.status == TaskStatus.RUNNING } }
-
-    private companion object {
-        /** Bits of an attempt's number that count within a tenure; the token above them makes it unique for ever. */
-        const val ATTEMPT_BITS = 20
-    }
 }
