--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -231,6 +231,9 @@
     /** Tasks. On one machine, so that its report, some 110 bytes a task, stays under 64 KiB. */
     const val MACHINE_TASKS = 400
 
+    /** ms. A worker drops answers 4 s after its report was sent; a little more, since clocks drift and batches wait. */
+    const val ANSWER_AWAITED_MS = 4_500L
+
     /** ms. Between two looks for silent machines: a fraction of a report interval. */
     const val WATCH_SILENCE_MS = 250L
 
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -192,7 +192,7 @@
         val m = machines[report.stove] ?: adopt(report) ?: return emptyList()
         // A copy that comes late: its answer reaches no worker that would take it, so it renews no lease, and what it
         // tells is old.
-        if (report.shift < m.shift || (report.shift == m.shift && report.ticket < m.reportTicket)) return emptyList()
+        if (isCopy(m, report)) return emptyList()
         // Every other answer may renew the worker's lease, also that of a machine being released: until the release is
         // carried out, its tasks are on it and must be stopped like any others.
         m.answeredAt = now.steady
@@ -207,6 +207,10 @@
         return orders
     }
 
+    /** A worker waits for the answer to its last report only, and not for long. */
+    private fun isCopy(m: Machine, report: CheckIn) = report.shift < m.shift || (report.shift == m.shift &&
+        (report.ticket < m.reportTicket || (report.ticket == m.reportTicket && now.steady - m.reportAt > Tuning.ANSWER_AWAITED_MS)))
+
     /** A worker's answer to a direct command. */
     private fun answered(m: Machine, answer: CheckIn) {
         if (answer.baton > election.token) election.lose("a worker has seen token ${answer.baton}") else hear(m, answer, isReport = false)
@@ -234,6 +238,7 @@
         val current = !isReport || m.confirmed || report.baton >= tenure
         if (isReport && report.ticket > m.reportTicket) {
             m.reportTicket = report.ticket
+            m.reportAt = now.steady
             if (current) m.heardAt = now.steady
         }
         if (report.ticket <= m.ticket) return
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -27,6 +27,9 @@
     var shift = 0L
     var ticket = 0L
     var reportTicket = 0L
+
+    /** Steady ms at which the report with that ticket first came. */
+    var reportAt = 0L
     var baton = 0L
 
     /** All attempts that may be on the machine, by attempt. */
