--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -27,7 +27,7 @@
 
     /** What went wrong; empty when all is well. */
     fun play(): List<String> {
-        val world = World(options["nodes"]?.toInt() ?: 1, options["seed"]?.toLong() ?: 1, operator(), options["team-max"]?.toDouble() ?: World.TEAM_MAX, options["report-ms"]?.toLong() ?: 3000L)
+        val world = World(options["nodes"]?.toInt() ?: 1, options["seed"]?.toLong() ?: 1, operator(), options["team-max"]?.toDouble() ?: World.TEAM_MAX, options["report-ms"]?.toLong() ?: 3000L, options["cpu"]?.toDouble() ?: 1.0)
         world.loss = options["loss"]?.toDouble() ?: 0.0
         world.cloud.capacity = options["capacity"]?.toInt() ?: 0
         // a+spot*20: so many spot machines in zone a.
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -3,6 +3,7 @@
 import ledgearch.config.CloudLimits
 import ledgearch.config.Deployment
 import ledgearch.config.Member
+import ledgearch.config.NodeQuota
 import ledgearch.config.Objective
 import ledgearch.config.OperatorSettings
 import ledgearch.config.OutsideAddresses
@@ -30,6 +31,7 @@
     private val operator: OperatorSettings = OperatorSettings(),
     val teamMax: Double = TEAM_MAX,
     val reportMs: Long = 3000L,
+    private val cpu: Double = 1.0,
 ) {
     val clock = Clockwork()
     val random = Random(seed)
@@ -69,6 +71,7 @@
                 workers = WorkerTimes(reportMs / 1000.0, leaseMs / 1000.0, CANCEL_MS / 1000.0),
                 state = StateLimits(200.0, 60.0, 8.0, 16),
                 cloud = CloudLimits(2.0, 3.0),
+                quota = NodeQuota(cpu = cpu),
             ),
             operator = operator,
         )
