--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -90,19 +90,10 @@
                 world.workers.getValue(it).alive = false
                 world.cloud.died(it)
             }
-            "take" -> host(world, w[1]).let {
-                world.removeWorker(it)
-                world.cloud.taken(it)
-            }
+            "take" -> world.vanish(host(world, w[1]))
             // take-many COUNT: the first ones, without a word.
-            "take-many" -> world.cloud.names.take(w[1].toInt()).forEach {
-                world.removeWorker(it)
-                world.cloud.taken(it)
-            }
-            "take-last" -> world.cloud.names.toList().takeLast(w[1].toInt()).forEach {
-                world.removeWorker(it)
-                world.cloud.taken(it)
-            }
+            "take-many" -> world.cloud.names.take(w[1].toInt()).forEach(world::vanish)
+            "take-last" -> world.cloud.names.toList().takeLast(w[1].toInt()).forEach(world::vanish)
             "expect" -> expect(world, step)
             else -> failures.add("line ${step.line}: unknown step ${w[0]}")
         }
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -210,6 +210,12 @@
         }
     }
 
+    /** The cloud takes a machine back without a word. */
+    fun vanish(name: String) {
+        removeWorker(name)
+        cloud.taken(name)
+    }
+
     fun runMs(portion: String): Long? {
         val spec = rules.submitted.getValue(portion.substringBefore('/'))
         return if (spec.shape == "standing") null else (spec.cookS * 1000).toLong()
