A holder that hears some machines stays, however many are silent

Now only a holder that hears less than a tenth gives up, and says so in the state service; for a minute after that the next one stays, hears whom it may, releases the rest and rents anew. A new holder releases missing machines, where most are, once each would have reported by itself. Whether a silent machine is surely lost asks an ordered list, not all others.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -177,8 +177,20 @@
     /** Reports. A machine silent for this many is given up and released. */
     const val LOST_REPORTS = 3.5
 
-    /** Share. When more machines than this are silent at once, the fault is on our side: nothing is released. */
-    const val SILENT_SHARE = 0.5
+    /** Share. Who hears or reaches more machines than this is well: what the others miss is their own fault. */
+    const val MOST = 0.5
+
+    /**
+     * Share. A holder that hears fewer machines than this is at fault itself; one that hears more is not, however many
+     * are silent: half of a fleet may be, in a zone that is cut off, and no other node would hear those.
+     */
+    const val HEARD_SHARE = 0.1
+
+    /**
+     * ms. So long after a holder gave the block up for silence the next one stays, even if it hears nobody either: it
+     * releases what is lost and rents anew, where the block would otherwise go round for ever.
+     */
+    const val CHANGED_IN_VAIN_MS = 60_000L
 
     /**
      * Reports. With most machines silent for this many intervals, the holder gives the block up: late enough for
--- a/src/main/kotlin/ledgearch/core/Book.kt
+++ b/src/main/kotlin/ledgearch/core/Book.kt
@@ -44,6 +44,10 @@
     var grantStamp = 0L
         private set
 
+    /** The last time that a holder gave the block up because it heard next to no machine. */
+    var silence: SilenceRecord? = null
+        private set
+
     /** All changes up to this revision are in the copy. */
     var revision = 0L
         private set
@@ -92,6 +96,7 @@
     private class Listing {
         val jobs = ArrayList<KeyValue>()
         var grant: KeyValue? = null
+        var silence: KeyValue? = null
         var catalog: KeyValue? = null
         var firstEdition = -1L
     }
@@ -113,6 +118,7 @@
                 when {
                     pair.key.startsWith(Keys.JOBS) -> into.jobs.add(pair)
                     pair.key == Keys.grant(0) -> into.grant = pair
+                    pair.key == Keys.silence(0) -> into.silence = pair
                     pair.key == Keys.CATALOG -> into.catalog = pair
                 }
             }
@@ -132,6 +138,7 @@
             jobs.remove(job.id)
             listener.jobClosed(job, job.id, "")
         }
+        setSilence(listing.silence?.v)
         setGrant(listing.grant?.v, listing.grant?.stamp ?: 0)
         listing.catalog?.v?.let { setCatalog(it) }
         for (pair in listing.jobs) putJob(pair.key, pair.v, pair.stamp)
@@ -175,6 +182,7 @@
                 put.startsWith(Keys.JOBS) -> putJob(put, news.v, news.stamp)
                 put.startsWith(Keys.FINALS) -> decodeRecord(FinalRecord.serializer(), news.v)?.let { rememberFinal(put.removePrefix(Keys.FINALS), it) }
                 put == Keys.grant(0) && news.stamp > grantStamp -> setGrant(news.v, news.stamp)
+                put == Keys.silence(0) -> setSilence(news.v)
                 put == Keys.CATALOG -> news.v?.let { setCatalog(it) }
             }
         } else if (removed != null) {
@@ -206,6 +214,10 @@
         listener.grantChanged()
     }
 
+    private fun setSilence(value: JsonElement?) {
+        silence = decodeRecord(SilenceRecord.serializer(), value)
+    }
+
     private fun setCatalog(value: JsonElement) {
         decodeRecord(CatalogRecord.serializer(), value)?.let { setRacks(it.racks) }
     }
--- a/src/main/kotlin/ledgearch/core/Records.kt
+++ b/src/main/kotlin/ledgearch/core/Records.kt
@@ -33,6 +33,7 @@
     const val FINISHED = "f/"
 
     fun grant(block: Int) = "$GRANTS$block"
+    fun silence(block: Int) = "$GRANTS$block/silence"
     fun job(id: String) = "$JOBS$id"
     fun final(id: String) = "$FINALS$id"
     fun machine(name: String) = "$MACHINES$name"
@@ -51,6 +52,10 @@
 @Serializable
 internal data class GrantRecord(val node: String, val life: Long)
 
+/** A holder gave the block up at this time of day (ms), since it heard next to no machine. */
+@Serializable
+internal data class SilenceRecord(val node: String, val at: Long)
+
 /** Machines of a block, written before anything starts on them. */
 @Serializable
 internal data class MachinesRecord(val block: Int, val racks: List<Rack>, val machines: List<MachineEntry>)
--- a/src/main/kotlin/ledgearch/core/Silence.kt
+++ b/src/main/kotlin/ledgearch/core/Silence.kt
@@ -45,13 +45,20 @@
         if (machines.values.none { it.inherited && !it.confirmed }) return
         val inherited = machines.values.filter { it.inherited }
         val missing = inherited.filter { !it.confirmed && !it.releasing && it.probesFailed >= Tuning.PROBES }
-        if (missing.isEmpty() || inherited.count { it.confirmed } <= inherited.size * Tuning.SILENT_SHARE) return
+        if (missing.isEmpty() || !hearsEnough(inherited.count { it.confirmed }, inherited.size)) return
         for (m in missing) {
             log.warn("machine {} of the block answers no probe; it is released", m.name)
             release(m)
         }
     }
 
+    /**
+     * Where most machines are missing, it takes the time in which every worker would have reported by itself to tell
+     * that it is not this node, and as long as it is heard by some.
+     */
+    private fun hearsEnough(confirmed: Int, all: Int) = confirmed > all * Tuning.MOST ||
+        (confirmed > all * Tuning.HEARD_SHARE && now.steady - maxOf(own.lateAt, election.grantedAt) > (reportMs * Tuning.CUT_REPORTS).toLong())
+
     /**
      * Reports alone are no health: a machine that is heard, but that neither answers nor commands reach, would hold its
      * tasks for ever and be given more.
@@ -60,7 +67,7 @@
         val lost = courier.broken.filter {
             !it.releasing && it.probesFailed >= Tuning.PROBES && now.steady - it.brokenSince > (reportMs * Tuning.LOST_REPORTS).toLong()
         }
-        if (lost.isEmpty() || courier.broken.size > machines.size * Tuning.SILENT_SHARE) return
+        if (lost.isEmpty() || courier.broken.size > machines.size * Tuning.MOST) return
         for (m in lost) {
             log.warn("machine {} is heard but not reached for {} ms; it is released", m.name, now.steady - m.brokenSince)
             release(m)
@@ -72,12 +79,13 @@
         fun silentFor(m: Machine, reports: Double) = now.steady - maxOf(m.heardAt, since) > (reportMs * reports).toLong()
         val active = machines.values.filter { !it.releasing }
         val quiet = active.count { silentFor(it, Tuning.CUT_REPORTS) }
-        if (quiet > 1 && quiet > active.size * Tuning.SILENT_SHARE) {
-            // Most workers at once: the fault is on this node's side. Their leases run out unless another, whom
+        if (quiet > 1 && active.size - quiet < active.size * Tuning.HEARD_SHARE && !election.changedInVain) {
+            // Nearly all workers at once: the fault is on this node's side. Their leases run out unless another, whom
             // they may reach, takes the block soon.
-            election.giveUp("$quiet of ${active.size} machines are silent")
+            election.giveUp("$quiet of ${active.size} machines are silent", silent = true)
             return
         }
+        val heard by lazy(LazyThreadSafetyMode.NONE) { Heard(active) }
         for (m in courier.broken) if (!m.releasing) courier.probe(m)
         for (m in machines.values.toList()) {
             if (!silentFor(m, Tuning.OVERDUE_REPORTS)) {
@@ -91,7 +99,7 @@
                 continue
             }
             if (m.confirmed && !m.releasing) courier.probe(m)
-            if (!silentFor(m, Tuning.LOST_REPORTS) && !surelyLost(m, active)) continue
+            if (!silentFor(m, Tuning.LOST_REPORTS) && !surelyLost(m, heard)) continue
             if (!m.releasing) {
                 log.warn("machine {} is silent for {} ms; it is released", m.name, now.steady - m.heardAt)
                 release(m)
@@ -108,11 +116,21 @@
      * [m] is overdue and answers no probe, while most others, and one of its zone, were heard since it was due: so it
      * is neither this node nor a zone that is cut off, and nothing is gained by waiting for more reports.
      */
-    private fun surelyLost(m: Machine, active: List<Machine>): Boolean {
+    private fun surelyLost(m: Machine, heard: Heard): Boolean {
         if (m.releasing || !m.confirmed || m.probesFailed < Tuning.PROBES) return false
         val due = m.heardAt + (reportMs * Tuning.DUE_REPORTS).toLong()
-        val heard = active.filter { it !== m && it.heardAt > due }
-        return heard.size * 2 > active.size && heard.any { it.hall == m.hall }
+        return heard.since(due) > heard.size * Tuning.MOST && heard.inZoneSince(m.hall, due)
+    }
+
+    /** When [machines] were last heard, ordered once: hundreds that are silent each ask how many others are not. */
+    private class Heard(machines: List<Machine>) {
+        private val times = machines.map { it.heardAt }.sorted()
+        private val lastInZone = machines.groupingBy { it.hall }.fold(Long.MIN_VALUE) { last, m -> maxOf(last, m.heardAt) }
+        val size get() = times.size
+
+        fun since(due: Long) = times.size - times.binarySearch { if (it > due) 1 else -1 }.inv()
+
+        fun inZoneSince(hall: String, due: Long) = (lastInZone[hall] ?: Long.MIN_VALUE) > due
     }
 
     /**
--- a/src/main/kotlin/ledgearch/leader/Election.kt
+++ b/src/main/kotlin/ledgearch/leader/Election.kt
@@ -1,11 +1,13 @@
 package ledgearch.leader
 
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.json.JsonElement
 import ledgearch.Tuning
 import ledgearch.core.Book
 import ledgearch.core.GrantRecord
 import ledgearch.core.Keys
 import ledgearch.core.Now
+import ledgearch.core.SilenceRecord
 import ledgearch.state.Lane
 import ledgearch.state.StateClient
 import ledgearch.state.TxnResult
@@ -85,17 +87,21 @@
         listener.lost()
     }
 
-    /** Gives the block up so that a node that can serve it takes it. */
-    fun giveUp(why: String) {
+    /** Gives the block up so that a node that can serve it takes it. [silent]: since next to no machine is heard. */
+    fun giveUp(why: String, silent: Boolean = false) {
         if (!holding) return
         val old = token
         standBackUntil = now.steady + Tuning.STAND_BACK_MS
         lose(why)
-        withdrawGrant(old)
+        val told = if (silent) listOf(Change(put = Keys.silence(0), v = encode(SilenceRecord.serializer(), SilenceRecord(node, now.wall)))) else emptyList()
+        withdrawGrant(old, told)
     }
 
-    private fun withdrawGrant(stamp: Long) {
-        state.txn(listOf(Condition(Keys.grant(0), stamp)), listOf(Change(remove = Keys.grant(0))), Lane.VITAL) { }
+    /** A holder before this one has given the block up of late, and the change of holder did not help. */
+    val changedInVain: Boolean get() = book().silence.let { it != null && now.wall - it.at < Tuning.CHANGED_IN_VAIN_MS }
+
+    private fun withdrawGrant(stamp: Long, told: List<Change> = emptyList()) {
+        state.txn(listOf(Condition(Keys.grant(0), stamp)), listOf(Change(remove = Keys.grant(0))) + told, Lane.VITAL) { }
     }
 
     fun drive() {
@@ -162,7 +168,9 @@
 
     private fun put() = Change(put = Keys.grant(0), v = record(), permit = permit)
 
-    private fun record(): JsonElement = WireJson.encodeToJsonElement(GrantRecord.serializer(), GrantRecord(node, life))
+    private fun record(): JsonElement = encode(GrantRecord.serializer(), GrantRecord(node, life))
+
+    private fun <T> encode(serializer: KSerializer<T>, value: T): JsonElement = WireJson.encodeToJsonElement(serializer, value)
 
     private fun claim(stamp: Long) {
         claiming = true
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -51,7 +51,13 @@
     var copied = 0.0
     var copyDelayMs = 0L
 
-    private class Cut(val a: String, val b: String, val until: Long, val hold: Boolean, val oneWay: Boolean) {
+    private fun matches(pattern: String, name: String) = pattern == name ||
+        (pattern == "workers" && name.startsWith("host-")) ||
+        (pattern == "nodes" && name.startsWith("n")) ||
+        (pattern.startsWith("zone-") && workers[name]?.hall == pattern.removePrefix("zone-")) ||
+        (pattern == "all" && name != "user")
+
+    private inner class Cut(val a: String, val b: String, val until: Long, val hold: Boolean, val oneWay: Boolean) {
         fun between(from: String, to: String) = (matches(a, from) && matches(b, to)) || (!oneWay && matches(b, from) && matches(a, to))
     }
 
@@ -274,11 +280,6 @@
         private const val MAX_BODY = 64 * 1024
         const val TEAM_MAX = 24.0
         const val CANCEL_MS = 39_000L
-        private fun matches(pattern: String, name: String) = pattern == name ||
-            (pattern == "workers" && name.startsWith("host-")) ||
-            (pattern == "nodes" && name.startsWith("n")) ||
-            (pattern == "all" && name != "user")
-
         private const val WALL = 1_700_000_000_000L
     }
 }
