--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -49,6 +49,9 @@
     /** ms. Time-driven work; a twentieth of the shortest wait that users ask for. */
     const val TICK_MS = 50L
 
+    /** ms. Between two lines of the debug log that tell what the owner's time went to. */
+    const val LOG_LOAD_MS = 10_000L
+
     // --- State service ----------------------------------------------------------------------------------------
     /** ms. Longest silence of a connection that is being read. */
     const val READ_MS = 20_000L
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -41,7 +41,7 @@
     private var waiting = 0
     private val random = Random(System.nanoTime() xor settings.node.hashCode().toLong())
     private val mesh = MeshLinks(scope, group, OwnerEvents())
-    private val controller = Controller(settings, SocketTransport(), mesh, random, random.nextLong(Long.MAX_VALUE))
+    private val controller = Controller(settings, SocketTransport(), mesh, random, random.nextLong(Long.MAX_VALUE), System::nanoTime)
 
     /** Binds the address (throws [IOException] when it is taken) and starts; the process then runs until killed. */
     fun start() {
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -41,12 +41,12 @@
  * The one owner of all state of the process. It is given commands in batches with the time, and acts on the
  * world only through its transport; it knows no sockets, threads or clocks.
  */
-internal class Controller(settings: Settings, transport: Transport, private val mesh: Mesh, random: Random, life: Long) {
+internal class Controller(settings: Settings, transport: Transport, private val mesh: Mesh, random: Random, life: Long, nanos: () -> Long) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
     private val node = settings.node
     private val members = settings.members.associate { it.node to it.addr }
     private val now = Now()
-    private val metrics = Metrics(now)
+    private val metrics = Metrics(now, nanos)
     private val metered = MeteredTransport(transport, settings.outside, metrics, now)
     private val state = StateClient(settings.outside.state, settings.deployment.state, settings.members.size + 1, metered, now)
     private val book = Book(state, now, BookEvents())
@@ -57,6 +57,7 @@
     private val holder = Holder(settings, state, metered, election, book, now, journal, fleet, metrics, own)
     private val intake = Intake(settings, book, state, GrantEvents(), now)
 
+    private var loadLogAt = 0L
     private var publishAt = 0L
     private var publishedTo = 0
 
@@ -71,8 +72,8 @@
         own.behind = behind
         for (command in commands) {
             when (command) {
-                is Command.Serve -> serve(command.request, command.respond)
-                is Command.Answered -> command.done(command.reply)
+                is Command.Serve -> metrics.spend(if (command.request.path == "/checkin") "reports" else "requests") { serve(command.request, command.respond) }
+                is Command.Answered -> metrics.spend("answers") { command.done(command.reply) }
                 is Command.News -> command.progress.forEach { book.jobs[it.job]?.shown = it }
                 is Command.PeerRefused -> members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
                 Command.Tick -> own.ticked()
@@ -81,10 +82,18 @@
         book.drive()
         election.drive()
         fleet.driveCatalog(election.holding)
-        intake.drive()
+        metrics.spend("intake") { intake.drive() }
         holder.drive()
         tellProgress()
-        state.pump()
+        metrics.spend("state") { state.pump() }
+        logLoad()
+    }
+
+    /** For finding out from a log what a busy node is busy with. */
+    private fun logLoad() {
+        if (!log.isDebugEnabled || now.steady < loadLogAt) return
+        loadLogAt = now.steady + Tuning.LOG_LOAD_MS
+        log.debug("owner's time so far, in ms: {}", metrics.spentMs())
     }
 
     /** The last batch took [micros] and left [waiting] commands. */
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -47,7 +47,7 @@
     val reserve = Reserve(settings, now)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
     val reliability = Reliability(estimates, ranking)
-    private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, estimates, ::start)
+    private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, estimates, metrics, ::start)
     private val courier = Courier(transport, election, now, own, Tuning.probesAtOnce(settings.deployment.quota.cpu), { machines[it.name] === it }, ::answered)
     private val silence = Silence(settings.deployment.workers, machines, election, courier, fleet, reliability, now, own) { newSession(it, it.shift + 1) }
 
@@ -495,17 +495,17 @@
         if (attemptSeq > Tuning.ATTEMPTS_A_TENURE) return election.giveUp("attempt numbers are used up")
         confirm()
         closeCancelled()
-        silence.drive()
+        metrics.spend("silence") { silence.drive() }
         if (!election.holding) return
         if (now.steady - countedAt > Tuning.COUNT_MS) {
             countedAt = now.steady
             reliability.count(machines.values, now.steady)
             shelter()
         }
-        place()
-        courier.drive()
-        fleet.drive(this)
-        journal.drive()
+        metrics.spend("placement") { place() }
+        metrics.spend("orders") { courier.drive() }
+        metrics.spend("fleet") { fleet.drive(this) }
+        metrics.spend("journal") { journal.drive() }
     }
 
     /** Places what waits when something has changed, and now and then since time alone may open a way. */
@@ -522,7 +522,9 @@
         placer.pass(book.jobs.values)
     }
 
-    private fun shelter() = reliability.shelter(book.jobs.values, machines.values, reserve.ordinaryCpus(fleet.bootS()))
+    private fun shelter() = metrics.spend("shelter") {
+        reliability.shelter(book.jobs.values, machines.values, reserve.ordinaryCpus(fleet.bootS()))
+    }
 
     private fun confirm() {
         for (m in unconfirmed) if (!m.releaseSent) courier.probe(m)
--- a/src/main/kotlin/ledgearch/core/Metrics.kt
+++ b/src/main/kotlin/ledgearch/core/Metrics.kt
@@ -5,8 +5,21 @@
 import ledgearch.Tuning
 import org.HdrHistogram.IntCountsHistogram
 
-/** Counters and latencies since the process began, as `GET /metrics` shows them. */
-internal class Metrics(private val now: Now) {
+/** Counters, latencies and where the owner's time goes since the process began, as `GET /metrics` shows them. */
+internal class Metrics(private val now: Now, private val nanos: () -> Long) {
+    private val spent = LinkedHashMap<String, Long>()
+
+    /** Does [work] and counts its time as spent on [what]. */
+    inline fun <T> spend(what: String, work: () -> T): T {
+        val began = nanos()
+        val result = work()
+        spent.merge(what, nanos() - began, Long::plus)
+        return result
+    }
+
+    /** Milliseconds spent on each kind of work. */
+    fun spentMs(): Map<String, Long> = spent.mapValues { it.value / NANOS_PER_MS }
+
     private val counters = LinkedHashMap<String, Long>()
     private val latencies = LinkedHashMap<String, IntCountsHistogram>()
 
@@ -34,7 +47,7 @@
     fun ticked(gapMs: Long) = gaps.recordValue(gapMs.coerceIn(0, LONGEST_MS))
 
     fun report(node: String, token: Long, jobs: Int, machines: Int, tasks: Int) = MetricsReport(
-        node, token, jobs, machines, tasks, OwnerLoad(summary(batches), summary(queue), summary(gaps)), counters.toSortedMap(),
+        node, token, jobs, machines, tasks, OwnerLoad(summary(batches), summary(queue), summary(gaps), spentMs()), counters.toSortedMap(),
         latencies.toSortedMap().mapValues { (_, h) -> summary(h) },
     )
 
@@ -42,6 +55,8 @@
         Summary(h.totalCount, h.getValueAtPercentile(50.0), h.getValueAtPercentile(90.0), h.getValueAtPercentile(99.0), h.maxValue)
 
     private companion object {
+        const val NANOS_PER_MS = 1_000_000L
+
         /** ms. Longer than any request is waited for. */
         const val LONGEST_MS = 60_000L
 
@@ -66,12 +81,13 @@
     @SerialName("latency_ms") val latencyMs: Map<String, Summary>,
 )
 
-/** How the owner keeps up: time of a batch, commands left waiting after it, and time between two ticks. */
+/** How the owner keeps up: time of a batch, commands left waiting after it, time between two ticks, and what its time went to. */
 @Serializable
 internal data class OwnerLoad(
     @SerialName("batch_us") val batchUs: Summary,
     @SerialName("queue_length") val queueLength: Summary,
     @SerialName("tick_gap_ms") val tickGapMs: Summary,
+    @SerialName("spent_ms") val spentMs: Map<String, Long>,
 )
 
 @Serializable
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -3,6 +3,7 @@
 import ledgearch.Tuning
 import ledgearch.core.Job
 import ledgearch.core.Machine
+import ledgearch.core.Metrics
 import ledgearch.core.Now
 import ledgearch.core.Teams
 import ledgearch.core.Zones
@@ -20,6 +21,7 @@
     private val preemption: Preemption,
     private val reliability: Reliability,
     private val estimates: Estimates,
+    private val metrics: Metrics,
     private val start: (Job, Int, Machine) -> Unit,
 ) {
     /** Of each job, the queues that its bound tasks wait in. */
@@ -71,8 +73,8 @@
             ordered.filterTo(waiting) { it.pendingCount > 0 }
         }
         if (waiting.isEmpty()) return
-        preemption.pass(waiting, usable, estimates.freedASecond(jobs))
-        bindWaiting(waiting, usable)
+        metrics.spend("preemption") { preemption.pass(waiting, usable, estimates.freedASecond(jobs)) }
+        metrics.spend("queues") { bindWaiting(waiting, usable) }
     }
 
     /**
@@ -111,7 +113,7 @@
      */
     private fun startHurried(jobs: List<Job>, usable: List<Machine>) {
         if (jobs.isEmpty()) return
-        val placed = preemption.besideImages(jobs, usable)
+        val placed = metrics.spend("hurried") { preemption.besideImages(jobs, usable) }
         for (job in jobs) startAnywhere(job, usable, leave = placed[job] ?: 0)
     }
 
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -87,7 +87,7 @@
 
         fun start() {
             val mine = ++life
-            controller = Controller(settings, NodeTransport(mine), NodeMesh(mine), Random(random.nextLong()), random.nextLong(Long.MAX_VALUE))
+            controller = Controller(settings, NodeTransport(mine), NodeMesh(mine), Random(random.nextLong()), random.nextLong(Long.MAX_VALUE)) { clock.now }
             tick(mine)
         }
 
