A worker's new session has a lease of its own: the lease proof counts from its beginning

Cause: the new holder was out of sockets, so workers could not report; their leases ended, their next sessions were learnt from answers to direct commands and got tasks. When such a machine then fell silent, the proof still counted from the last answered report of the session before, and the tasks were started elsewhere while they ran. Scenario session-has-its-own-lease, seen to fail without the guard.

--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -233,7 +233,11 @@
 
     private fun hear(m: Machine, report: CheckIn, isReport: Boolean) {
         if (report.shift < m.shift) return
-        if (report.shift > m.shift) newSession(m, report.shift)
+        if (report.shift > m.shift) {
+            newSession(m, report.shift)
+            // It began before this word of it was sent, and has a whole lease from then on without any answer of ours.
+            m.answeredAt = now.steady
+        }
         // Of a machine that has not confirmed the token, a report without it may be a copy as old as an earlier holder.
         val current = !isReport || m.confirmed || report.baton >= tenure
         if (isReport && report.ticket > m.reportTicket) {
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -65,6 +65,8 @@
             "deaf" -> world.cut("nodes", host(world, w[1]), seconds(3), hold = false, oneWay = true)
             // uncommanded MACHINE: answers to its reports reach it, direct commands do not.
             "uncommanded" -> world.uncommanded.add(host(world, w[1]))
+            // unreporting MACHINE: its reports reach nobody, direct commands reach it.
+            "unreporting" -> world.unreporting.add(host(world, w[1]))
             // copies SHARE within S: of that share of reports from now on a copy comes up to so much later.
             "copies" -> {
                 world.copied = w[1].toDouble()
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -183,8 +183,12 @@
         cuts.add(Cut(a, b, until, hold, oneWay))
     }
 
+    /** Machines whose reports reach nobody, though direct commands reach them and are answered. */
+    val unreporting = HashSet<String>()
+
     /** A report; a copy of it may come late, whose answer reaches nobody. */
     fun sendReport(from: String, to: String, body: String, answer: (Reply) -> Unit) {
+        if (from in unreporting) return
         send(from, to, "POST", "/checkin", body, answer)
         if (copied > 0 && random.nextDouble() < copied) {
             val node = nodes[random.nextInt(nodes.size)]
