Sockets: what is unused makes room for what comes; direct commands under way are bounded; a renewed token answered late is kept

Where the state service was slow, renewing the token timed out, and the holder deposed itself by its own new grant.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -16,7 +16,7 @@
     const val READ_BUFFER = 2 * 1024
 
     /** Connections. Waiting to be accepted; small, so that a full node refuses and callers go on to the next. */
-    const val ACCEPT_BACKLOG = 64
+    const val ACCEPT_BACKLOG = 128
 
     /** ms. A connection with no request in progress; users poll about every 5 s, so this closes only forgotten ones. */
     const val IDLE_MS = 60_000L
@@ -27,11 +27,20 @@
     /** ms. How long one write may stall before the connection is given up. */
     const val WRITE_MS = 10_000L
 
-    /** Share of the sockets allowed that incoming connections may take; the rest is for calls to others. */
-    const val INCOMING_SHARE = 0.75
+    /**
+     * Share of the sockets allowed that incoming connections may take: on the largest deployments every worker, and a
+     * user's connection for every third of them.
+     */
+    const val INCOMING_SHARE = 0.78
 
     /** Share of the sockets allowed that unused connections to others may take. */
-    const val IDLE_SHARE = 0.15
+    const val IDLE_SHARE = 0.10
+
+    /** Share of the sockets allowed that calls to workers under way may take; what is left is for all else. */
+    const val CALLS_SHARE = 0.08
+
+    /** Reports. A worker's connection unused for so many intervals is its last, and goes when sockets run out. */
+    const val STALE_REPORTS = 2.5
 
     /** ms. Opening a connection to anything: several resends of a lost packet. */
     const val CONNECT_MS = 1_500L
@@ -234,6 +243,8 @@
 
     fun probesAtOnce(cpu: Double) = (PROBES_A_PROCESSOR * cpu.coerceIn(0.1, 1.0)).toInt()
 
+    fun callsAtOnce(sockets: Int) = (sockets * CALLS_SHARE).toInt().coerceAtLeast(1)
+
     /** Bits of an attempt's number that count within a tenure; the token above them makes it unique for ever. */
     const val ATTEMPT_BITS = 28
 
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -46,7 +46,8 @@
     /** Binds the address (throws [IOException] when it is taken) and starts; the process then runs until killed. */
     fun start() {
         val sockets = (settings.deployment.quota.fdLimit * Tuning.INCOMING_SHARE).toInt()
-        HttpServer(scope, group, sockets, ::handle).start(settings.listen)
+        val staleMs = (settings.deployment.workers.reportS * 1000 * Tuning.STALE_REPORTS).toLong()
+        HttpServer(scope, group, sockets, { it.path == "/checkin" }, staleMs, ::handle).start(settings.listen)
         mesh.listen(settings.meshAddress)
         scope.launch { own() }
         scope.launch {
--- a/src/main/kotlin/ledgearch/cli/RehearsalWorld.kt
+++ b/src/main/kotlin/ledgearch/cli/RehearsalWorld.kt
@@ -21,8 +21,8 @@
     private var edition = 10L
 
     fun play() {
-        HttpServer(scope, group, 10, ::state).start(settings.outside.state)
-        HttpServer(scope, group, 10, ::cloud).start(settings.outside.cloud)
+        HttpServer(scope, group, 10, handler = ::state).start(settings.outside.state)
+        HttpServer(scope, group, 10, handler = ::cloud).start(settings.outside.cloud)
         Daemon(settings).start()
         val client = HttpClient(group)
         runBlocking(Dispatchers.Unconfined) {
--- a/src/main/kotlin/ledgearch/core/Courier.kt
+++ b/src/main/kotlin/ledgearch/core/Courier.kt
@@ -18,6 +18,7 @@
     private val now: Now,
     private val own: OwnTime,
     private val probesAtOnce: Int,
+    private val callsAtOnce: Int,
     private val isHere: (Machine) -> Boolean,
     private val heard: (Machine, CheckIn) -> Unit,
 ) {
@@ -31,6 +32,9 @@
     val broken = LinkedHashSet<Machine>()
     private var probesOpen = 0
 
+    /** Direct commands under way, probes among them: each takes a socket, and the dead hold theirs until the time-out. */
+    private var callsOpen = 0
+
     /** Changes with every tenure: answers to an earlier one's calls mean nothing here. */
     private var tenure = 0
 
@@ -40,6 +44,7 @@
         lossy.clear()
         broken.clear()
         probesOpen = 0
+        callsOpen = 0
     }
 
     fun want(m: Machine) {
@@ -75,6 +80,7 @@
         if (wanted.isNotEmpty()) {
             val ready = wanted.filter { !it.pushing && !it.pushBroken && it.durable && it.confirmed && !it.releaseSent }
             for (m in ready) {
+                if (callsOpen >= callsAtOnce) break
                 wanted.remove(m)
                 push(m)
             }
@@ -127,8 +133,10 @@
     private fun direct(m: Machine, list: List<Order>, timeoutMs: Long, done: (CheckIn?) -> Unit) {
         val mine = tenure
         val body = WireJson.encodeToString(OrdersRequest.serializer(), OrdersRequest(election.token, maxOf(m.shift, 1L), list))
+        callsOpen++
         transport.call(m.endpoint, "POST", "/orders", body, timeoutMs) { reply ->
             if (tenure != mine) return@call
+            callsOpen--
             val answer = if (reply.status == 200 || reply.status == 409) parse(reply)?.takeIf { it.stove == m.name } else null
             if (answer != null) reached(m)
             done(answer)
@@ -140,7 +148,7 @@
      * its session is another than the one known here, its answer tells which, and the token is shown once more.
      */
     fun probe(m: Machine, again: Boolean = false) {
-        if (m.pushing || (!again && (now.steady < m.probeAt || probesOpen >= probesAtOnce))) return
+        if (m.pushing || (!again && (now.steady < m.probeAt || probesOpen >= probesAtOnce || callsOpen >= callsAtOnce))) return
         m.pushing = true
         m.probeAt = now.steady + Tuning.PROBE_MS
         probesOpen++
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -48,7 +48,7 @@
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
     val reliability = Reliability(estimates, ranking)
     private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, estimates, metrics, ::start)
-    private val courier = Courier(transport, election, now, own, Tuning.probesAtOnce(settings.deployment.quota.cpu), { machines[it.name] === it }, ::answered)
+    private val courier = Courier(transport, election, now, own, Tuning.probesAtOnce(settings.deployment.quota.cpu), Tuning.callsAtOnce(settings.deployment.quota.fdLimit), { machines[it.name] === it }, ::answered)
     private val silence = Silence(settings.deployment.workers, machines, election, courier, fleet, reliability, now, own) { newSession(it, it.shift + 1) }
 
     /** The first token of this tenure: a worker that has seen it no longer follows any earlier holder. */
--- a/src/main/kotlin/ledgearch/http/HttpServer.kt
+++ b/src/main/kotlin/ledgearch/http/HttpServer.kt
@@ -14,65 +14,74 @@
 import java.nio.channels.AsynchronousSocketChannel
 
 /**
- * Serves HTTP/1.1 on one address: one coroutine a connection, at most [maxConnections] of them.
- * While that many are open no further one is accepted, so the kernel's small queue holds callers back.
+ * Serves HTTP/1.1 on one address: one coroutine a connection, at most [maxConnections] of them. With that many open, the
+ * one unused longest is closed for the next; those whose last request [isKept] only once unused for [staleMs]. Where none
+ * can be closed no further one is accepted, so the kernel's small queue holds callers back.
  */
 internal class HttpServer(
     private val scope: CoroutineScope,
     private val group: AsynchronousChannelGroup,
     private val maxConnections: Int,
+    private val isKept: (Request) -> Boolean = { false },
+    private val staleMs: Long = 0,
     private val handler: suspend (Request) -> Response,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.http")
-    private var open = 0
+    private val connections = Connections(maxConnections, staleMs)
 
     /** Binds at once (throws when the address is taken), then accepts until cancelled. */
     fun start(address: String): Job {
         val server = listenOn(address, group)
         return scope.launch {
             while (true) {
-                if (open >= maxConnections) {
+                if (!connections.makeRoom(nowMs())) {
                     delay(Tuning.TICK_MS)
                     continue
                 }
                 val channel = server.acceptPatiently(log)
-                open++
+                val connection = Connection(channel)
+                connections.opened(connection)
                 scope.launch {
                     try {
-                        serve(channel)
+                        serve(channel, connection)
                     } catch (e: CancellationException) {
                         throw e
                     } catch (_: IOException) {
-                        // The caller went away or was too slow; it will come back by itself.
+                        // The caller went away or was too slow, or its place was needed; it will come back by itself.
                     } finally {
-                        open--
-                        channel.closeQuietly()
+                        connections.close(connection)
                     }
                 }
             }
         }
     }
 
-    private suspend fun serve(channel: AsynchronousSocketChannel) {
+    private fun nowMs() = System.nanoTime() / 1_000_000
+
+    private suspend fun serve(channel: AsynchronousSocketChannel, connection: Connection) {
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
         val reader = MessageReader(Tuning.MAX_BODY)
         val buffer = ByteBuffer.allocate(Tuning.READ_BUFFER)
         while (true) {
             val request = try {
-                nextRequest(channel, reader, buffer) ?: return
+                nextRequest(channel, connection, reader, buffer) ?: return
             } catch (e: BadMessage) {
                 log.debug("bad request: {}", e.message)
                 send(channel, Response(e.status, """{"error":"${e.message}"}"""), keepAlive = false)
                 return
             }
+            connection.isKept = isKept(request)
             val response = handler(request)
             send(channel, response, request.keepAlive)
             if (!request.keepAlive) return
         }
     }
 
-    private suspend fun nextRequest(channel: AsynchronousSocketChannel, reader: MessageReader, buffer: ByteBuffer): Request? {
+    private suspend fun nextRequest(
+        channel: AsynchronousSocketChannel, connection: Connection, reader: MessageReader, buffer: ByteBuffer,
+    ): Request? {
         var startedAt = if (reader.isEmpty) 0L else System.nanoTime()
+        if (startedAt == 0L) connections.unused(connection, nowMs())
         while (true) {
             val head = reader.head()
             val body = if (head != null) reader.body() else null
@@ -90,7 +99,10 @@
             buffer.clear()
             val n = channel.readSome(buffer, timeout)
             if (n < 0) return null
-            if (startedAt == 0L) startedAt = System.nanoTime()
+            if (startedAt == 0L) {
+                connections.used(connection)
+                startedAt = System.nanoTime()
+            }
             reader.append(buffer.array(), n)
         }
     }
--- a/src/main/kotlin/ledgearch/leader/Election.kt
+++ b/src/main/kotlin/ledgearch/leader/Election.kt
@@ -8,7 +8,9 @@
 import ledgearch.core.Keys
 import ledgearch.core.Now
 import ledgearch.core.SilenceRecord
+import ledgearch.core.decodeRecord
 import ledgearch.state.Lane
+import ledgearch.state.ReadResult
 import ledgearch.state.StateClient
 import ledgearch.state.TxnResult
 import ledgearch.wire.Change
@@ -74,7 +76,7 @@
     /** The book has news of the grant. */
     fun grantChanged() {
         val b = book()
-        if (holding && !bumping && b.grantStamp > token) lose("another grant was made: ${b.grant?.node}")
+        if (holding && !bumping && b.grantStamp > token && !renewed(b.grantStamp)) lose("another grant was made: ${b.grant?.node}")
         if (holding && !bumping && b.grantStamp == 0L && b.revision >= token) lose("the grant's lease ran out")
         claimAt = now.steady + random.nextLong(Tuning.ELECTION_SPREAD_MS)
     }
@@ -136,6 +138,19 @@
         claim(b.grantStamp)
     }
 
+    /**
+     * The grant at [stamp] in the book is this life's own: a renewed token whose transaction was answered too late. It was
+     * written over the token held till then, so nobody else had the block in between.
+     */
+    private fun renewed(stamp: Long): Boolean {
+        val grant = book().grant
+        if (grant?.node != node || grant.life != life) return false
+        log.info("block 0: token {} replaces {}", stamp, token)
+        token = stamp
+        listener.granted(token, fresh = false)
+        return true
+    }
+
     /** A new token for the same holder: fences direct commands that were lost on their way. */
     fun bump() {
         if (!holding || bumping || now.steady - bumpedAt < Tuning.BUMP_MS) return
@@ -152,14 +167,32 @@
                     token = result.edition
                     listener.granted(token, fresh = false)
                 }
-                is TxnResult.Conflict -> lose("another grant was made")
-                // Perhaps written: the book will show a newer grant and this one is given up as lost.
-                TxnResult.Unknown -> if (book().grantStamp > token) lose("a renewed token was not confirmed")
+                // An earlier try may have been carried out late: the grant itself tells.
+                is TxnResult.Conflict -> compareGrant()
+                // Perhaps written: the book shows it, now or later.
+                TxnResult.Unknown -> if (book().grantStamp > token && !renewed(book().grantStamp)) lose("another grant was made")
                 TxnResult.NoLease, TxnResult.Refused -> Unit
             }
         }
     }
 
+    /** The key is at another stamp than the token: this holder's own by a renewal that nobody answered for, or another's. */
+    private fun compareGrant() {
+        val old = token
+        state.get(Keys.grant(0), Lane.VITAL) { read ->
+            if (token != old || !holding) return@get
+            when (read) {
+                is ReadResult.Found -> {
+                    val grant = decodeRecord(GrantRecord.serializer(), read.value.v)
+                    if (grant?.node != node || grant.life != life) lose("another grant was made: ${grant?.node}")
+                }
+                ReadResult.Absent -> lose("the grant's lease ran out")
+                // The next comparison tells.
+                ReadResult.Failed -> Unit
+            }
+        }
+    }
+
     /** The watch has already shown what came after the grant made at [edition]. */
     private fun superseded(edition: Long): Boolean {
         val b = book()
@@ -221,7 +254,7 @@
             verifying = false
             when (result) {
                 is TxnResult.Ok -> verified(sentAt, under)
-                is TxnResult.Conflict -> if (token == under && !bumping) lose("the grant is not this node's any more")
+                is TxnResult.Conflict -> if (token == under && !bumping) compareGrant()
                 else -> Unit
             }
         }
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -77,7 +77,7 @@
                 workers = WorkerTimes(reportMs / 1000.0, leaseMs / 1000.0, CANCEL_MS / 1000.0),
                 state = StateLimits(200.0, 60.0, 8.0, 16),
                 cloud = CloudLimits(2.0, 3.0),
-                quota = NodeQuota(cpu = cpu),
+                quota = NodeQuota(cpu = cpu, fdLimit = 3000),
             ),
             operator = operator,
         )
