--- a/src/test/kotlin/ledgearch/world/Rules.kt
+++ b/src/test/kotlin/ledgearch/world/Rules.kt
@@ -1,5 +1,6 @@
 package ledgearch.world
 
+import ledgearch.Tuning
 import ledgearch.wire.WorkRequest
 
 /** The users' rules, checked from outside: it sees workers and answers, never the service's own state. */
@@ -19,6 +20,10 @@
     var lastAttempt = 0L
         private set
 
+    /** How many grants, first ones of a tenure, starts were decided under. */
+    val tenures get() = tenuresSeen.size
+    private val tenuresSeen = HashSet<Long>()
+
     /** Starts that a faulty machine failed. */
     var failures = 0
         private set
@@ -47,6 +52,7 @@
 
     fun commanded(worker: WorkerStandIn, task: WorkerStandIn.Task) {
         lastAttempt = maxOf(lastAttempt, task.attempt)
+        tenuresSeen.add(task.attempt shr Tuning.ATTEMPT_BITS)
         for (other in world.workers.values) {
             if (other !== worker && other.alive && other.tasks.values.any { it.portion == task.portion && it.status != "exited" }) {
                 broken("ran_twice", "${task.portion} sent to ${worker.name} while on ${other.name}")
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -81,6 +81,8 @@
             "write" -> world.state.write(w[1], w[2])
             "state-down" -> world.state.outage(true)
             "state-up" -> world.state.outage(false)
+            // state-slow MS: transactions that write are carried out at once and answered so much later.
+            "state-slow" -> world.state.slowMs = w[1].toLong()
             "cloud-down" -> world.cloud.down = true
             "cloud-up" -> world.cloud.down = false
             "never-boots" -> world.cloud.bootsNever = w[1].toInt()
@@ -126,6 +128,7 @@
             "starts" -> world.rules.startsOf(w[2]).let { check("starts ${w[2]} at most ${w[3]}", it, it <= w[3].toInt()) }
             "failures" -> world.rules.failures.let { check("failures at most ${w[2]}", it, it <= w[2].toInt()) }
             "decisions" -> (world.rules.lastAttempt and 0xFFFFFFF).let { check("decisions at most ${w[2]}", it, it <= w[2].toInt()) }
+            "tenures" -> world.rules.tenures.let { check("tenures ${w[2]}", it, it == w[2].toInt()) }
             "finished" -> world.rules.completedOf(w[2]).let { check("finished ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "accepted" -> check("accepted ${w[2]}", false, world.rules.isAccepted(w[2]))
             "machines" -> world.cloud.names.size.let { check("machines ${w[2]}", it, it == w[2].toInt()) }
--- a/src/test/kotlin/ledgearch/world/StateStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/StateStandIn.kt
@@ -33,6 +33,9 @@
     var down = false
         private set
 
+    /** ms. How late transactions that write are answered. */
+    var slowMs = 0L
+
     private class Watch(val prefix: String, val since: Long, val answer: (Reply) -> Unit) {
         var open = true
     }
@@ -50,7 +53,11 @@
         val path = target.substringBefore('?')
         val query = target.substringAfter('?', "").split('&').filter { it.isNotEmpty() }.associate { it.substringBefore('=') to it.substringAfter('=') }
         when {
-            path == "/txn" -> answer(txn(WireJson.decodeFromString(Txn.serializer(), body.orEmpty())))
+            path == "/txn" -> {
+                val txn = WireJson.decodeFromString(Txn.serializer(), body.orEmpty())
+                val reply = txn(txn)
+                if (slowMs == 0L || txn.then.isEmpty()) answer(reply) else clock.after(slowMs) { answer(reply) }
+            }
             path == "/leases" -> {
                 val life = WireJson.decodeFromString(LeaseRequest.serializer(), body.orEmpty()).lifeMs
                 leases[nextPermit] = Lease(life, clock.now + life)
