--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -286,6 +286,12 @@
     const val PASS_MS = 40L
     const val BEHIND_PASS_MS = 200L
 
+    /** Times what the last pass took until the next: placement takes a third of the owner's time at most. */
+    const val PASS_REST = 3
+
+    /** ms. The longest between two passes, however long they take. */
+    const val MOST_PASS_MS = 1_000L
+
     /** ms. A pass when nothing was seen to change, since time alone may open a way. */
     const val IDLE_PASS_MS = 250L
 
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -523,7 +523,7 @@
             teams.countGuarantees(book.jobs.values)
             shelter()
         }
-        placer.pass(book.jobs.values)
+        own.passed(metrics.timed { placer.pass(book.jobs.values) })
     }
 
     private fun shelter() = metrics.spend("shelter") {
--- a/src/main/kotlin/ledgearch/core/Metrics.kt
+++ b/src/main/kotlin/ledgearch/core/Metrics.kt
@@ -17,6 +17,13 @@
         return result
     }
 
+    /** Does [work]; returns how many milliseconds it took. */
+    inline fun timed(work: () -> Unit): Long {
+        val began = nanos()
+        work()
+        return (nanos() - began) / NANOS_PER_MS
+    }
+
     /** Milliseconds spent on each kind of work. */
     fun spentMs(): Map<String, Long> = spent.mapValues { it.value / NANOS_PER_MS }
 
@@ -54,17 +61,17 @@
     private fun summary(h: IntCountsHistogram) =
         Summary(h.totalCount, h.getValueAtPercentile(50.0), h.getValueAtPercentile(90.0), h.getValueAtPercentile(99.0), h.maxValue)
 
-    private companion object {
+    companion object {
         const val NANOS_PER_MS = 1_000_000L
 
         /** ms. Longer than any request is waited for. */
-        const val LONGEST_MS = 60_000L
+        private const val LONGEST_MS = 60_000L
 
         /** Microseconds. A batch that takes longer has stopped the service. */
-        const val LONGEST_US = 60_000_000L
+        private const val LONGEST_US = 60_000_000L
 
         /** Digits kept of a latency: 1%. */
-        const val DIGITS = 2
+        private const val DIGITS = 2
     }
 }
 
--- a/src/main/kotlin/ledgearch/core/OwnTime.kt
+++ b/src/main/kotlin/ledgearch/core/OwnTime.kt
@@ -27,10 +27,21 @@
     /** The last batch was full: more commands wait. */
     var behind = false
 
-    /** At most one pass in a while, more seldom while commands wait: a pass for every batch would keep the node behind. */
+    /** ms that the last pass took. */
+    private var passTook = 0L
+
+    /**
+     * At most one pass in a while, more seldom while commands wait and after one that took long: a pass for every batch
+     * would keep the node behind, and leave workers without answers.
+     */
     fun mayPass(): Boolean {
-        if (now.steady - passAt < if (behind) Tuning.BEHIND_PASS_MS else Tuning.PASS_MS) return false
+        val pause = maxOf(if (behind) Tuning.BEHIND_PASS_MS else Tuning.PASS_MS, minOf(passTook * Tuning.PASS_REST, Tuning.MOST_PASS_MS))
+        if (now.steady - passAt < pause) return false
         passAt = now.steady
         return true
     }
+
+    fun passed(ms: Long) {
+        passTook = ms
+    }
 }
--- a/src/main/kotlin/ledgearch/core/placement/Misfits.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Misfits.kt
@@ -4,19 +4,23 @@
 
 /** Tasks that found no room in this pass: until room shows, none that asks for as much or more needs to look. */
 internal class Misfits {
-    private val jobs = ArrayList<Job>()
+    private data class Misfit(val job: Job, val halls: Set<String>?)
 
-    fun clear() = jobs.clear()
+    private val all = ArrayList<Misfit>()
 
-    fun add(job: Job) {
-        if (!covers(job)) jobs.add(job)
+    fun clear() = all.clear()
+
+    /** [job] found no room in [halls], or in any zone. */
+    fun add(job: Job, halls: Set<String>? = null) {
+        if (!covers(job, halls)) all.add(Misfit(job, halls))
     }
 
     /** A job with no fewer places to go to, and tasks no larger, found no room. */
-    fun covers(job: Job): Boolean = jobs.any { other ->
+    fun covers(job: Job, halls: Set<String>? = null): Boolean = all.any { (other, tried) ->
         val a = other.spec
         val b = job.spec
         a.vcpus <= b.vcpus && a.memoryGb <= b.memoryGb && a.accelerators <= b.accelerators &&
+            (tried == null || (halls != null && tried.containsAll(halls))) &&
             (a.borrowed || !b.borrowed) && (a.hall == null || a.hall == b.hall) && (a.racks == null || a.racks == b.racks)
     }
 }
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -176,9 +176,17 @@
     private fun bindWaiting(waiting: List<Job>, usable: List<Machine>) {
         var open = usable.count { it.queue.band != Band.OVERLOADED }
         val preferred = lists ?: PreferredLists(machines.values.filter { it.inService }).also { lists = it }
+        // Where the homes and buddies of one job's tasks are overloaded, others for the same machines wait for the next pass.
+        val full = HashSet<List<Any?>>()
         for (job in waiting) {
             if (open == 0) return
-            if (job.pendingCount > (bound[job]?.size ?: 0)) open -= bindRest(job, usable, preferred)
+            if (job.pendingCount <= (bound[job]?.size ?: 0)) continue
+            val spec = job.spec
+            val places = listOf(spec.racks, spec.hall, spec.borrowed)
+            val anyZone = !spec.apart && !spec.samePlace
+            if (places in full) continue
+            open -= bindRest(job, usable, preferred)
+            if (anyZone && job.pendingCount > (bound[job]?.size ?: 0)) full.add(places)
         }
     }
 
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -22,11 +22,25 @@
     private val now: Now,
     private val stop: (Placement, Job) -> Unit,
 ) {
+    /** A task that may be stopped, and what that costs: the same throughout a pass. */
+    private class Victim(val task: Placement, val job: Job, val missed: Int, val cost: Double)
+
     /** Room on a machine once what is being stopped there is gone, less what this pass has promised of it. */
-    private class Prospect(val machine: Machine) {
+    private inner class Prospect(val machine: Machine) {
         val room = Room(machine.rack).apply {
             for (p in machine.placements.values) if (p.goesOn) take(p.job)
         }
+
+        /** What goes on here and is not spared, the cheapest to stop first. */
+        val victims: List<Victim> by lazy(LazyThreadSafetyMode.NONE) { machine.placements.values.mapNotNull(::victim).sortedBy { it.cost } }
+    }
+
+    private fun victim(p: Placement): Victim? {
+        val job = p.job
+        if (job == null || p.spared || !p.goesOn) return null
+        val missed = missed(p)
+        // Work that is as urgent as what it makes room for goes last, however little it has done.
+        return Victim(p, job, missed, spent(p) + missed * Tuning.WORTH_AIM + (Urgencies.ORDER.size - 1 - job.urgency) * Tuning.WORTH_URGENCY)
     }
 
     /** Tasks whose stopping makes room on one machine, and what that costs. */
@@ -64,10 +78,13 @@
         // Tasks of each team that have got room here, in processors.
         val promised = HashMap<String, Double>()
         val misfits = HashMap<List<Any>, Misfits>()
+        val halls = prospects.mapTo(HashSet()) { it.machine.hall }
+        // Hundreds of jobs may wait and find nothing to stop: that is asked of the jobs that run, not of each machine.
+        val running by lazy(LazyThreadSafetyMode.NONE) { prospects.flatMapTo(HashSet()) { at -> at.victims.map { it.job } } }
         for (job in waiting) {
             val places = if (sparing) prospects.filter { it.machine.imageDistance(job.spec.recipe) == 0 } else prospects
             val zones = Zones(job)
-            val yielding by lazy(LazyThreadSafetyMode.NONE) { yielding(job, prospects) }
+            val yielding by lazy(LazyThreadSafetyMode.NONE) { yielding(job, if (running.any { mayYield(job, it) }) prospects else emptyList()) }
             var hunt: Hunt? = null
             var done = 0
             while (done < job.pendingCount) {
@@ -75,12 +92,13 @@
                 val guaranteed = mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
                 // What was tried in vain for one job is not tried again for another that may stop no more.
                 val tried = misfits.getOrPut(if (guaranteed) listOf(job.urgency, job.spec.crew) else listOf(job.urgency)) { Misfits() }
-                if (!sparing && !job.spec.apart && !job.spec.samePlace && tried.covers(job)) break
+                val allowed = halls.filterTo(HashSet()) { zones.allows(it) }
+                if (!sparing && tried.covers(job, allowed)) break
                 val yields = if (done < teams.roomOnceStopped(job)) null else yielding.next() ?: break
-                val h = hunt?.takeIf { it.guaranteed == guaranteed } ?: Hunt(job, guaranteed, places, zones, sparing).also { hunt = it }
+                val h = hunt?.takeIf { it.guaranteed == guaranteed } ?: Hunt(job, guaranteed, places, zones, sparing, running.any { mayStop(job, guaranteed, it) }).also { hunt = it }
                 val prospect = h.next()
                 if (prospect == null) {
-                    if (!sparing && !job.spec.apart && !job.spec.samePlace) tried.add(job)
+                    if (!sparing) tried.add(job, allowed)
                     break
                 }
                 yields?.let {
@@ -101,8 +119,9 @@
     /** The less urgent tasks of the same team, where its limit leaves no room for [job]; their places matter not. */
     private fun yielding(job: Job, prospects: List<Prospect>): Yielding = Yielding(
         prospects
-            .flatMap { at -> at.machine.placements.values.filter { mayYield(job, it) }.map { at to it } }
-            .sortedBy { (_, p) -> cost(p) }
+            .flatMap { at -> at.victims.filter { mayYield(job, it.job) }.map { at to it } }
+            .sortedBy { (_, v) -> v.cost }
+            .map { (at, v) -> at to v.task }
             .iterator(),
     )
 
@@ -113,11 +132,8 @@
         }
     }
 
-    private fun mayYield(job: Job, p: Placement): Boolean {
-        val other = p.job ?: return false
-        return p.goesOn && !p.spared && other.spec.crew == job.spec.crew && other.urgency > job.urgency &&
-            other.spec.vcpus >= job.spec.vcpus && other.spec.accelerators >= job.spec.accelerators
-    }
+    private fun mayYield(job: Job, other: Job) = other.spec.crew == job.spec.crew && other.urgency > job.urgency &&
+        other.spec.vcpus >= job.spec.vcpus && other.spec.accelerators >= job.spec.accelerators
 
     /**
      * The search for room for the tasks of one job: machines with room first, those with its image before others, then
@@ -129,6 +145,7 @@
         prospects: List<Prospect>,
         private val zones: Zones,
         private val sparing: Boolean,
+        private val mayStopAny: Boolean,
     ) {
         private val allowed = prospects.filter { it.machine.allows(job) }
         private val roomy = PriorityQueue<Pair<Int, Prospect>>(compareBy { it.first })
@@ -154,7 +171,7 @@
             }
             val open = offers ?: PriorityQueue<Offer>(compareBy { it.cost }).also { all ->
                 offers = all
-                if (guaranteed || teams.anyLessUrgent(job)) allowed.forEach { addOffer(all, it) }
+                if (mayStopAny) allowed.forEach { addOffer(all, it) }
             }
             while (true) {
                 val offer = open.poll() ?: return null
@@ -180,26 +197,26 @@
 
         private fun offer(p: Prospect): Offer? {
             val victims = victims(job, guaranteed, p, sparing) ?: return null
-            return Offer(p, victims, victims.sumOf { cost(it) } + p.machine.imageDistance(job.spec.recipe) * Tuning.WORTH_IMAGE)
+            return Offer(p, victims.map { it.task }, victims.sumOf { it.cost } + p.machine.imageDistance(job.spec.recipe) * Tuning.WORTH_IMAGE)
         }
     }
 
-    private fun victims(job: Job, guaranteed: Boolean, prospect: Prospect, sparing: Boolean): List<Placement>? {
+    private fun victims(job: Job, guaranteed: Boolean, prospect: Prospect, sparing: Boolean): List<Victim>? {
         val room = prospect.room
-        val candidates = prospect.machine.placements.values
-            .filter { it.goesOn && !it.spared && it.job != null && mayStop(job, guaranteed, it.job) && !(sparing && missed(it) > 0) }
-        if (candidates.isEmpty()) return null
-        val chosen = ArrayList<Placement>()
-        for (c in candidates.map { cost(it) to it }.sortedBy { it.first }.map { it.second }) {
+        var chosen: ArrayList<Victim>? = null
+        for (v in prospect.victims) {
+            if (!v.task.goesOn || !mayStop(job, guaranteed, v.job) || (sparing && v.missed > 0)) continue
             // The team of an earlier choice may have nothing more to spare.
-            if (c.job != null && c.job.urgency == job.urgency && !teams.canSpare(c.job, chosen.mapNotNull { it.job })) continue
-            chosen.add(c)
-            room.give(c.job)
+            if (v.job.urgency == job.urgency && !teams.canSpare(v.job, chosen.orEmpty().map { it.job })) continue
+            val soFar = chosen ?: ArrayList<Victim>().also { chosen = it }
+            soFar.add(v)
+            room.give(v.job)
             if (room.fits(job)) break
         }
+        val all = chosen ?: return null
         val enough = room.fits(job)
-        chosen.forEach { room.take(it.job) }
-        return if (enough) chosen else null
+        all.forEach { room.take(it.job) }
+        return if (enough) all else null
     }
 
     /** What is stopped must come after [job] in serving order: else it would be started again and stopped again for ever. */
@@ -207,15 +224,6 @@
         victim.urgency > job.urgency ||
             (guaranteed && victim.urgency == job.urgency && !victim.guaranteed && victim.spec.crew != job.spec.crew && !victim.standing && teams.canSpare(victim))
 
-    /**
-     * What stopping [p] costs, in processor seconds: what it has done, and the aims that its job misses by starting it
-     * again. Work that is as urgent as what it makes room for goes last, however little it has done.
-     */
-    private fun cost(p: Placement): Double {
-        val job = p.job ?: return 0.0
-        return spent(p) + missed(p) * Tuning.WORTH_AIM + (Urgencies.ORDER.size - 1 - job.urgency) * Tuning.WORTH_URGENCY
-    }
-
     /** Aims that the job of [p] meets only if [p] goes on; none if other tasks of it wait to be started anyway. */
     private fun missed(p: Placement): Int {
         val job = p.job ?: return 0
