--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -47,7 +47,8 @@
     fun start() {
         val sockets = (settings.deployment.quota.fdLimit * Tuning.INCOMING_SHARE).toInt()
         val staleMs = (settings.deployment.workers.reportS * 1000 * Tuning.STALE_REPORTS).toLong()
-        HttpServer(scope, group, sockets, { it.path == "/checkin" }, staleMs, ::handle).start(settings.listen)
+        val server = HttpServer(scope, group, sockets, { it.path == "/checkin" }, staleMs, ::handle)
+        server.start(settings.listen)
         mesh.listen(settings.meshAddress)
         scope.launch { own() }
         scope.launch {
@@ -60,6 +61,7 @@
             while (true) {
                 delay(Tuning.POOLED_IDLE_MS / 2)
                 client.sweep()
+                log.debug("sockets: {} incoming, {} outgoing, {} commands wait", server.open, client.open, waiting)
             }
         }
         log.info("node {} listens on {}", settings.node, settings.listen)
--- a/src/main/kotlin/ledgearch/http/HttpClient.kt
+++ b/src/main/kotlin/ledgearch/http/HttpClient.kt
@@ -17,6 +17,10 @@
     private val idle = LinkedHashMap<String, ArrayDeque<Pooled>>()
     private var idleCount = 0
 
+    /** Connections that are open or being opened. */
+    var open = 0
+        private set
+
     /** One exchange. Never repeated here: only the caller knows whether a repeat is safe. */
     suspend fun call(address: String, method: String, target: String, body: String?, timeoutMs: Long): Reply {
         var connection: Pooled? = null
@@ -37,7 +41,7 @@
         } catch (_: BadMessage) {
             return Reply.NONE
         } finally {
-            connection?.let { if (reusable) put(address, it) else it.channel.closeQuietly() }
+            connection?.let { if (reusable) put(address, it) else close(it.channel) }
         }
     }
 
@@ -49,7 +53,7 @@
             val list = lists.next()
             while (list.isNotEmpty() && now - list.first().idleSince > Tuning.POOLED_IDLE_MS) {
                 idleCount--
-                list.removeFirst().channel.closeQuietly()
+                close(list.removeFirst().channel)
             }
             if (list.isEmpty()) lists.remove()
         }
@@ -62,7 +66,7 @@
             val c = list.removeLast()
             idleCount--
             if (now - c.idleSince <= Tuning.POOLED_IDLE_MS) return c
-            c.channel.closeQuietly()
+            close(c.channel)
         }
         return null
     }
@@ -81,19 +85,25 @@
         val (address, list) = idle.entries.first()
         if (list.isNotEmpty()) {
             idleCount--
-            list.removeFirst().channel.closeQuietly()
+            close(list.removeFirst().channel)
         }
         if (list.isEmpty()) idle.remove(address)
     }
 
+    private fun close(channel: AsynchronousSocketChannel) {
+        open--
+        channel.closeQuietly()
+    }
+
     private suspend fun open(address: String): Pooled {
         val channel = AsynchronousSocketChannel.open(group)
+        open++
         try {
             withTimeoutOrNull(Tuning.CONNECT_MS) { channel.connectTo(parseAddress(address)); true }
                 ?: throw IOException("no connection")
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
         } catch (e: Exception) {
-            channel.closeQuietly()
+            close(channel)
             throw e
         }
         return Pooled(channel, MessageReader(Tuning.MAX_RESPONSE), 0)
--- a/src/main/kotlin/ledgearch/http/HttpServer.kt
+++ b/src/main/kotlin/ledgearch/http/HttpServer.kt
@@ -29,6 +29,9 @@
     private val log = LoggerFactory.getLogger("ledgearch.http")
     private val connections = Connections(maxConnections, staleMs)
 
+    /** Connections open now. */
+    val open get() = connections.open
+
     /** Binds at once (throws when the address is taken), then accepts until cancelled. */
     fun start(address: String): Job {
         val server = listenOn(address, group)
