--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -52,6 +52,12 @@
     /** Commands. A full queue makes the connections wait, which holds their senders back. */
     const val QUEUE = 1024
 
+    /** Requests of users. Small: what waits longer than users do is better turned away at once. */
+    const val USERS_QUEUE = 256
+
+    /** Of [BATCH], what users' requests get however much else waits. */
+    const val USERS_IN_BATCH = 8
+
     /** Commands. Handled before effects are made, so that one pass of placement serves them all. */
     const val BATCH = 64
 
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -5,7 +5,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import ledgearch.Tuning
@@ -18,6 +17,7 @@
 import ledgearch.http.Reply
 import ledgearch.http.Request
 import ledgearch.http.Response
+import ledgearch.intake.Intake
 import ledgearch.mesh.MeshEvents
 import ledgearch.mesh.MeshLinks
 import ledgearch.mesh.Progress
@@ -35,10 +35,7 @@
     private val scope = CoroutineScope(executor.asCoroutineDispatcher() + SupervisorJob() + failures)
     private val group = AsynchronousChannelGroup.withThreadPool(executor)
     private val client = HttpClient(group, (settings.deployment.quota.fdLimit * Tuning.OUTGOING_SHARE).toInt())
-    private val queue = Channel<Command>(Tuning.QUEUE)
-
-    /** Commands in [queue], or waiting to be. */
-    private var waiting = 0
+    private val queue = OwnerQueue()
     private val random = Random(System.nanoTime() xor settings.node.hashCode().toLong())
     private val mesh = MeshLinks(scope, group, OwnerEvents())
     private val controller = Controller(settings, SocketTransport(), mesh, random, random.nextLong(Long.MAX_VALUE), System::nanoTime)
@@ -54,27 +51,23 @@
         scope.launch {
             while (true) {
                 delay(Tuning.TICK_MS)
-                if (queue.trySend(Command.Tick).isSuccess) waiting++
+                queue.tick()
             }
         }
         scope.launch {
             while (true) {
                 delay(Tuning.POOLED_IDLE_MS / 2)
                 client.sweep()
-                log.debug("sockets: {} incoming, {} outgoing, {} commands wait", server.open, client.open, waiting)
+                log.debug("sockets: {} incoming, {} outgoing, {} commands wait", server.open, client.open, queue.waiting)
             }
         }
         log.info("node {} listens on {}", settings.node, settings.listen)
     }
 
-    private suspend fun put(command: Command) {
-        waiting++
-        queue.send(command)
-    }
-
     private suspend fun handle(request: Request): Response {
         val answer = CompletableDeferred<Response>()
-        put(Command.Serve(request) { answer.complete(it) })
+        val command = Command.Serve(request) { answer.complete(it) }
+        if (request.path in FIRST) queue.put(command) else if (!queue.offer(command)) return tooBusy
         return answer.await()
     }
 
@@ -82,33 +75,38 @@
         val batch = ArrayList<Command>(Tuning.BATCH)
         while (true) {
             batch.clear()
-            // Never with a time-out: a command handed over at the moment of the time-out would be lost.
-            batch.add(queue.receive())
-            while (batch.size < Tuning.BATCH) batch.add(queue.tryReceive().getOrNull() ?: break)
-            waiting -= batch.size
+            queue.take(batch)
             val began = System.nanoTime()
             try {
-                controller.run(began / 1_000_000, System.currentTimeMillis(), batch, behind = waiting > 0)
+                controller.run(began / 1_000_000, System.currentTimeMillis(), batch, behind = queue.waiting > 0)
             } catch (e: RuntimeException) {
                 // One bad message must not end the service; whoever sent it gets no answer and comes back.
                 log.error("a command failed", e)
             }
-            controller.worked((System.nanoTime() - began) / 1000, waiting)
+            controller.worked((System.nanoTime() - began) / 1000, queue.waiting)
         }
     }
 
+    /** More users ask than can be answered in time: each is told at once when to come back. */
+    private val tooBusy = Intake.error(503, "too many requests").copy(retryAfterS = settings.operator.retryAfterS)
+
     private inner class OwnerEvents : MeshEvents {
-        override suspend fun news(progress: List<Progress>) = put(Command.News(progress))
+        override suspend fun news(progress: List<Progress>) = queue.put(Command.News(progress))
 
-        override suspend fun refused(address: String) = put(Command.PeerRefused(address))
+        override suspend fun refused(address: String) = queue.put(Command.PeerRefused(address))
     }
 
     private inner class SocketTransport : Transport {
         override fun call(address: String, method: String, target: String, body: String?, timeoutMs: Long, done: (Reply) -> Unit) {
             scope.launch {
                 val reply = client.call(address, method, target, body, timeoutMs)
-                put(Command.Answered(reply, done))
+                queue.put(Command.Answered(reply, done))
             }
         }
     }
+
+    private companion object {
+        /** What must not wait behind users: workers' leases hang on it, and the load balancer's patience. */
+        val FIRST = setOf("/checkin", "/up")
+    }
 }
--- /dev/null
+++ b/src/main/kotlin/ledgearch/cli/OwnerQueue.kt
@@ -0,0 +1,44 @@
+package ledgearch.cli
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.selects.select
+import ledgearch.Tuning
+import ledgearch.core.Command
+
+/**
+ * What waits for the owner, in two lines. Workers' reports, answers and time come first and hold their senders back when
+ * the line is full; users' requests wait behind them, and one too many is turned away at once.
+ */
+internal class OwnerQueue {
+    private val first = Channel<Command>(Tuning.QUEUE)
+    private val users = Channel<Command>(Tuning.USERS_QUEUE)
+
+    /** Commands in the queue, or waiting to be. */
+    var waiting = 0
+        private set
+
+    suspend fun put(command: Command) {
+        waiting++
+        first.send(command)
+    }
+
+    /** Time that has passed is told again soon: a tick finds room or is left out. */
+    fun tick() {
+        if (first.trySend(Command.Tick).isSuccess) waiting++
+    }
+
+    /** Whether there was room for a user's request. */
+    fun offer(command: Command): Boolean = users.trySend(command).isSuccess.also { if (it) waiting++ }
+
+    /** Waits for a command, then adds what else there is to [batch], up to [Tuning.BATCH]; a part is always the users'. */
+    suspend fun take(batch: MutableList<Command>) {
+        // Never with a time-out: a command handed over at the moment of the time-out would be lost.
+        batch.add(select {
+            first.onReceive { it }
+            users.onReceive { it }
+        })
+        while (batch.size < Tuning.BATCH - Tuning.USERS_IN_BATCH) batch.add(first.tryReceive().getOrNull() ?: break)
+        while (batch.size < Tuning.BATCH) batch.add(users.tryReceive().getOrNull() ?: break)
+        waiting -= batch.size
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/OwnerQueueTest.kt
@@ -0,0 +1,40 @@
+package ledgearch
+
+import kotlinx.coroutines.runBlocking
+import ledgearch.cli.OwnerQueue
+import ledgearch.core.Command
+import ledgearch.http.Request
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Reports, answers and time never wait behind users, and users are turned away rather than kept waiting. */
+internal class OwnerQueueTest {
+    private val queue = OwnerQueue()
+
+    private fun request(path: String) = Command.Serve(Request("GET", path, "", true)) { }
+
+    private fun batch(): List<String> = ArrayList<Command>().also { runBlocking { queue.take(it) } }
+        .map { (it as? Command.Serve)?.request?.path ?: "other" }
+
+    @Test
+    fun `reports overtake users, who still get their part`() {
+        repeat(200) { assertTrue(queue.offer(request("/work"))) }
+        runBlocking { repeat(100) { queue.put(request("/checkin")) } }
+        val taken = batch()
+        assertEquals(Tuning.BATCH, taken.size)
+        assertEquals(Tuning.USERS_IN_BATCH, taken.count { it == "/work" })
+        assertTrue(taken.takeLast(Tuning.USERS_IN_BATCH).all { it == "/work" })
+    }
+
+    @Test
+    fun `one user too many is turned away at once, reports are not`() {
+        repeat(Tuning.USERS_QUEUE) { assertTrue(queue.offer(request("/work"))) }
+        assertFalse(queue.offer(request("/work")))
+        runBlocking { queue.put(request("/checkin")) }
+        queue.tick()
+        assertEquals(listOf("/checkin", "other"), batch().take(2))
+        assertTrue(queue.offer(request("/work")))
+    }
+}
