--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -77,6 +77,7 @@
                 node.crash()
                 world.clock.after(seconds(3)) { if (!node.up) node.start() }
             }
+            "freeze" -> world.nodes.first { it.name == named(1) }.freeze(seconds(3))
             // write KEY JSON: with no spaces.
             "write" -> world.state.write(w[1], w[2])
             "state-down" -> world.state.outage(true)
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -94,6 +94,7 @@
         fun crash() {
             life++
             controller = null
+            frozenUntil = 0L
         }
 
 
@@ -104,8 +105,22 @@
             clock.after(50) { tick(mine) }
         }
 
+        private var frozenUntil = 0L
+        private val held = ArrayList<Command>()
+
+        /** The process stands still, its clocks run on; what came meanwhile is worked off at once. */
+        fun freeze(until: Long) {
+            frozenUntil = until
+            val mine = life
+            clock.at(until) {
+                val waiting = held.toList()
+                held.clear()
+                if (mine == life) controller?.run(clock.now, WALL + clock.now, waiting, behind = true)
+            }
+        }
+
         private fun run(command: Command) {
-            controller?.run(clock.now, WALL + clock.now, listOf(command))
+            if (clock.now < frozenUntil) held.add(command) else controller?.run(clock.now, WALL + clock.now, listOf(command))
         }
 
         /** As the load balancer sees it. */
