--- a/src/main/kotlin/ledgearch/core/Book.kt
+++ b/src/main/kotlin/ledgearch/core/Book.kt
@@ -40,6 +40,9 @@
     var grant: GrantRecord? = null
         private set
 
+    /** Who held the block before the present grant, as far as this node has seen. */
+    private var formerNode: String? = null
+
     /** Stamp of the grant's key, 0 when it does not exist. */
     var grantStamp = 0L
         private set
@@ -209,11 +212,16 @@
 
     private fun setGrant(value: JsonElement?, stamp: Long) {
         if (stamp == grantStamp) return
+        val before = grant?.node
         grant = value?.let { decodeRecord(GrantRecord.serializer(), it) }
+        if (before != null && before != grant?.node) formerNode = before
         grantStamp = stamp
         listener.grantChanged()
     }
 
+    /** The last to hold the block before [node] did. */
+    fun holderBefore(node: String): String? = grant?.node?.takeIf { it != node } ?: formerNode
+
     private fun setSilence(value: JsonElement?) {
         silence = decodeRecord(SilenceRecord.serializer(), value)
     }
--- a/src/main/kotlin/ledgearch/core/CutZones.kt
+++ b/src/main/kotlin/ledgearch/core/CutZones.kt
@@ -5,8 +5,7 @@
 
 /**
  * Zones of which next to no machine is heard while most of another zone's are. Such a zone is cut off and mostly back within
- * a minute or so. Its machines may be running all that they ran; what they are given back for is lost, and where services
- * must keep to several zones nothing can take their place before.
+ * a minute or so; nothing is rented there meanwhile, and its machines are not given back where that would lose what goes on.
  */
 internal class CutZones(private val now: Now) {
     private class Heard {
@@ -48,12 +47,22 @@
         for ((hall, zone) in cut) {
             if (since.putIfAbsent(hall, now.steady) == null) log.warn("zone {}: {} of {} machines are heard", hall, zone.heard, zone.machines)
         }
+        others = zones.size - cut.size
         return back
     }
 
-    /** [m] is silent with its whole zone, and not yet for so long that it is given up. */
-    fun mayComeBack(m: Machine): Boolean {
-        val patience = if (m.confirmed) Tuning.CUT_ZONE_MS else Tuning.CUT_ZONE_UNCONFIRMED_MS
-        return now.steady - (since[m.hall] ?: return false) < patience
+    /** Zones with enough machines to tell that are not cut off. */
+    private var others = 0
+
+    /**
+     * [m] is silent with its whole zone, it is worth keeping until the zone is back, and not yet given up. Unconfirmed, it is
+     * where the holder before this one is cut off with it ([servedWithin]) and keeps its leases alive; else nobody does, and
+     * older jobs only wait for it. Confirmed, it is for replicas that may not all be where the rest of the fleet is: the
+     * others' tasks begin anew elsewhere the sooner the better.
+     */
+    fun mayComeBack(m: Machine, servedWithin: String?): Boolean {
+        val silent = now.steady - (since[m.hall] ?: return false)
+        if (!m.confirmed) return servedWithin == m.hall && silent < Tuning.CUT_ZONE_UNCONFIRMED_MS
+        return silent < Tuning.CUT_ZONE_MS && others < 2 && m.placements.values.any { it.job?.spec?.apart == true && it.job.standing && !it.exited }
     }
 }
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -49,7 +49,7 @@
     val reliability = Reliability(estimates, ranking)
     private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, estimates, metrics, ::start)
     private val courier = Courier(transport, election, now, own, Tuning.probesAtOnce(settings.deployment.quota.cpu), Tuning.callsAtOnce(settings.deployment.quota.fdLimit), { machines[it.name] === it }, ::answered)
-    private val silence = Silence(settings.deployment.workers, machines, election, courier, fleet, reliability, now, own) { newSession(it, it.shift + 1) }
+    private val silence = Silence(settings.deployment.workers, machines, election, courier, fleet, reliability, now, own, ::areaBefore) { newSession(it, it.shift + 1) }
 
     /** The first token of this tenure: a worker that has seen it no longer follows any earlier holder. */
     private var tenure = 0L
@@ -491,6 +491,8 @@
 
     // --- Time -------------------------------------------------------------------------------------------------
 
+    private fun areaBefore() = book.holderBefore(settings.node)?.let { former -> settings.members.firstOrNull { it.node == former }?.area }
+
     /** Next to nothing is heard from this zone. */
     fun isCutOff(hall: String) = silence.isCutOff(hall)
 
--- a/src/main/kotlin/ledgearch/core/Silence.kt
+++ b/src/main/kotlin/ledgearch/core/Silence.kt
@@ -17,6 +17,8 @@
     private val reliability: Reliability,
     private val now: Now,
     private val own: OwnTime,
+    /** The zone of the controller that held the block before, if that is known. */
+    private val areaBefore: () -> String?,
     private val sessionEnded: (Machine) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
@@ -27,6 +29,8 @@
 
     fun clear() = cutZones.clear()
 
+    private fun mayComeBack(m: Machine) = cutZones.mayComeBack(m, areaBefore())
+
     fun isCutOff(hall: String) = hall in cutZones
 
     fun drive() {
@@ -57,7 +61,7 @@
      */
     private fun releaseMissing() {
         if (machines.values.none { it.inherited && !it.confirmed }) return
-        val inherited = machines.values.filter { it.inherited && !cutZones.mayComeBack(it) }
+        val inherited = machines.values.filter { it.inherited && !mayComeBack(it) }
         val missing = inherited.filter { !it.confirmed && !it.releasing && it.probesFailed >= Tuning.PROBES }
         if (missing.isEmpty() || !hearsEnough(inherited.count { it.confirmed }, inherited.size)) return
         for (m in missing) {
@@ -79,7 +83,7 @@
      */
     private fun releaseUnreached() {
         val lost = courier.broken.filter {
-            !it.releasing && !cutZones.mayComeBack(it) && it.probesFailed >= Tuning.PROBES && now.steady - it.brokenSince > (reportMs * Tuning.LOST_REPORTS).toLong()
+            !it.releasing && !mayComeBack(it) && it.probesFailed >= Tuning.PROBES && now.steady - it.brokenSince > (reportMs * Tuning.LOST_REPORTS).toLong()
         }
         if (lost.isEmpty() || courier.broken.size > machines.size * Tuning.MOST) return
         for (m in lost) {
@@ -115,7 +119,7 @@
             }
             if (m.confirmed && !m.releasing) courier.probe(m)
             if (!silentFor(m, Tuning.LOST_REPORTS) && !surelyLost(m, heard)) continue
-            if (!m.releasing && !cutZones.mayComeBack(m)) {
+            if (!m.releasing && !mayComeBack(m)) {
                 log.warn("machine {} is silent for {} ms; it is released", m.name, now.steady - m.heardAt)
                 release(m)
             }
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -68,7 +68,7 @@
             node = name,
             listen = "$name:8080",
             meshAddress = "$name:8081",
-            members = (1..nodeCount).map { "n$it" }.filter { it != name }.map { Member(it, addr = "$it:8081") },
+            members = (1..nodeCount).map { "n$it" }.filter { it != name }.map { Member(it, if (it == "n1") "b" else "a", "$it:8081") },
             outside = OutsideAddresses("cloud:1", "state:1"),
             deployment = Deployment(
                 zones = listOf("a", "b"),
