--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -2,6 +2,13 @@
 
 /** Every constant of the service, with its unit and the reason for its value. */
 internal object Tuning {
+    // --- The machine ---
+    /** MB. What the process takes at the most, by the heap in deploy/service.toml and what was measured beside it. */
+    const val MEMORY_MB = 180.0
+
+    /** Sockets. With fewer than this a small deployment's users already have to take turns. */
+    const val FEW_SOCKETS = 128
+
     // --- HTTP -------------------------------------------------------------------------------------------------
     /** Bytes. The protocol's bound on a request body. */
     const val MAX_BODY = 64 * 1024
@@ -352,6 +359,13 @@
 
     const val LOSS_PRIOR_RATE = 2.0
 
+    /** ms. Losses of spot machines are counted by such windows: a wave of them takes some seconds. */
+    const val LOSS_WINDOW_MS = 10_000L
+
+    /** Machines. So many losses in a window always count, and so many times what is expected by the rate so far. */
+    const val LOSSES_ALONE = 3.0
+    const val LOSSES_TIMES = 3.0
+
     /** Expected lost tasks: at 0.5 the chance of losing at least one is 40%. */
     const val EXPECTED_LOSSES = 0.5
 
--- a/src/main/kotlin/ledgearch/cli/Main.kt
+++ b/src/main/kotlin/ledgearch/cli/Main.kt
@@ -62,6 +62,7 @@
         System.err.println("ledgearch: ${e.message}")
         return EXIT_SETTINGS
     }
+    SettingsLoader.warnings(settings).forEach { System.err.println("ledgearch: warning: $it") }
     if (command == "check-config") return EXIT_OK.also { println(SettingsLoader.print(settings)) }
     return serve(settings)
 }
--- a/src/main/kotlin/ledgearch/config/SettingsLoader.kt
+++ b/src/main/kotlin/ledgearch/config/SettingsLoader.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonObject
+import ledgearch.Tuning
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.NoSuchFileException
@@ -67,8 +68,25 @@
             "deployment.state.value_kb" to deployment.state.valueKb,
             "deployment.state.txn_ops" to deployment.state.txnOps.toDouble(),
             "deployment.cloud.rps" to deployment.cloud.rps,
+            "deployment.quota.cpu" to deployment.quota.cpu,
+            "deployment.quota.fd_limit" to deployment.quota.fdLimit.toDouble(),
         )
-        return positive.entries.firstOrNull { !(it.value > 0.0) }?.let { "${it.key}: ${it.value} must be above 0" }
+        positive.entries.firstOrNull { !(it.value > 0.0) || it.value.isInfinite() }?.let { return "${it.key}: ${it.value} must be above 0 and finite" }
+        for (team in deployment.teams) {
+            val amounts = mapOf("cpus" to team.cpus, "cpus_max" to team.cpusMax, "gpus" to team.gpus, "gpus_max" to team.gpusMax)
+            amounts.entries.firstOrNull { !(it.value >= 0.0) }?.let { return "deployment.teams.${team.name}.${it.key}: ${it.value} must be 0 or more" }
+        }
+        return null
+    }
+
+    /** What lets the service start but will not let it serve well. */
+    fun warnings(s: Settings): List<String> {
+        val quota = s.deployment.quota
+        return listOfNotNull(
+            "deployment.quota.memory_mb: ${quota.memoryMb} is little; the service takes up to ${Tuning.MEMORY_MB}".takeIf { quota.memoryMb > 0.0 && quota.memoryMb < Tuning.MEMORY_MB },
+            "deployment.quota.fd_limit: ${quota.fdLimit} is little; every worker and user needs one".takeIf { quota.fdLimit < Tuning.FEW_SOCKETS },
+        ) + s.deployment.teams.filter { it.cpusMax < it.cpus || it.gpusMax < it.gpus }
+            .map { "deployment.teams.${it.name}: what is guaranteed is more than the limit" }
     }
 
     private fun isAddress(value: String): Boolean {
--- a/src/main/kotlin/ledgearch/core/Silence.kt
+++ b/src/main/kotlin/ledgearch/core/Silence.kt
@@ -51,7 +51,7 @@
     }
 
     private fun release(m: Machine) {
-        reliability.lost(m)
+        reliability.lost(m, now.steady)
         fleet.release(m)
     }
 
--- a/src/main/kotlin/ledgearch/core/placement/Reliability.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Reliability.kt
@@ -10,14 +10,31 @@
     private var hours = Tuning.LOSS_PRIOR_HOURS
     private var losses = Tuning.LOSS_PRIOR_HOURS * Tuning.LOSS_PRIOR_RATE
     private var countedAt = 0L
+    private var spotMachines = 0
+
+    /** Losses that still count in the present window, which began at the given steady ms. */
+    private var windowAt = Long.MIN_VALUE / 2
+    private var windowLeft = 0.0
 
     fun count(machines: Collection<Machine>, nowMs: Long) {
-        if (countedAt != 0L) hours += machines.count { it.borrowed } * (nowMs - countedAt) / MS_PER_HOUR
+        spotMachines = machines.count { it.borrowed }
+        if (countedAt != 0L) hours += spotMachines * (nowMs - countedAt) / MS_PER_HOUR
         countedAt = nowMs
     }
 
-    fun lost(m: Machine) {
-        if (m.borrowed) losses += 1.0
+    /**
+     * Hundreds lost at once, with a zone or a wave of takings, are one event: counted one by one they would look like a
+     * rate of loss and move all work off spot machines for the rest of the day.
+     */
+    fun lost(m: Machine, nowMs: Long) {
+        if (!m.borrowed) return
+        if (nowMs - windowAt > Tuning.LOSS_WINDOW_MS) {
+            windowAt = nowMs
+            windowLeft = Tuning.LOSSES_ALONE + Tuning.LOSSES_TIMES * losses / hours * spotMachines * Tuning.LOSS_WINDOW_MS / MS_PER_HOUR
+        }
+        if (windowLeft < 1.0) return
+        windowLeft -= 1.0
+        losses += 1.0
     }
 
     /** More likely than not the job would lose a task on spot machines, and be late by as much as it had run. */
--- /dev/null
+++ b/src/test/kotlin/ledgearch/LossesTest.kt
@@ -0,0 +1,56 @@
+package ledgearch
+
+import ledgearch.config.Objective
+import ledgearch.core.Job
+import ledgearch.core.JobRecord
+import ledgearch.core.Machine
+import ledgearch.core.Now
+import ledgearch.core.Teams
+import ledgearch.core.placement.Estimates
+import ledgearch.core.placement.Ranking
+import ledgearch.core.placement.Reliability
+import ledgearch.wire.Rack
+import ledgearch.wire.WorkRequest
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** What lost spot machines mean for the jobs that come after. */
+internal class LossesTest {
+    private val now = Now()
+    private val estimates = Estimates()
+    private val reliability = Reliability(estimates, Ranking(listOf(Objective("deadline", "c")), estimates, now))
+    private val teams = Teams(emptyList())
+    private val spot = List(300) { Machine("host-$it", "h:1", Rack("r", 8.0, memoryGb = 16.0), "a", true, 0, teams) }
+    private val job = Job(
+        JobRecord(
+            WorkRequest("job-1", "c", "t", "sweep", "urgent", portions = 40, vcpus = 2.0, memoryGb = 1.0, recipe = "i", sizeGb = 1.0, borrowed = true, cookS = 20.0, serveS = 30.0),
+            at = 0,
+        ),
+        1,
+    )
+
+    private fun isExposed(): Boolean {
+        reliability.shelter(listOf(job), emptyList(), 0.0)
+        return reliability.wantsOrdinary(job)
+    }
+
+    private fun hold(seconds: Int, losses: (Int) -> Int) {
+        for (s in 0..seconds) {
+            repeat(losses(s)) { reliability.lost(spot[it], s * 1000L) }
+            reliability.count(spot, s * 1000L)
+        }
+    }
+
+    @Test
+    fun `hundreds lost at once are no rate of loss`() {
+        hold(seconds = 60) { if (it == 30) 300 else 0 }
+        assertFalse(isExposed())
+    }
+
+    @Test
+    fun `as many lost one after the other are`() {
+        hold(seconds = 300) { 1 }
+        assertTrue(isExposed())
+    }
+}
