--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -10,15 +10,9 @@
 import ledgearch.fleet.Fleet
 import ledgearch.fleet.Reserve
 import ledgearch.leader.Election
-import ledgearch.state.Lane
-import ledgearch.state.ReadResult
 import ledgearch.state.StateClient
-import ledgearch.wire.Causes
 import ledgearch.wire.CheckIn
-import ledgearch.wire.KeyValue
 import ledgearch.wire.Order
-import ledgearch.wire.PortionReport
-import ledgearch.wire.PortionStates
 import ledgearch.wire.Verbs
 import ledgearch.wire.WorkStates
 import org.slf4j.LoggerFactory
@@ -54,10 +48,9 @@
     /** The first token of this tenure: a worker that has seen it no longer follows any earlier holder. */
     private var tenure = 0L
     private var attemptSeq = 0L
-    private val toRead = ArrayDeque<Pair<String, String?>>()
-    private var reading = false
-    private var readRetryAt = Long.MIN_VALUE
-    private var machinesRead = false
+    private val takeover = Takeover(state, book, journal, teams, now, ::join)
+    private val tasks = TaskNews(book, machines, estimates, journal, metrics, now, ::changed)
+    val replicas = Replicas(now, placer::usable) { stop(it) }
 
     /** The records of the block are read; from here on machines are confirmed and tasks placed. */
     private var ready = false
@@ -80,15 +73,13 @@
             if (job.record.cancel) cancelled.add(job)
         }
         guaranteesDirty = true
-        toRead.addLast(Keys.MACHINES to null)
-        toRead.addLast(Keys.FINISHED to null)
+        takeover.begin()
         state.share(holder = true)
     }
 
     fun end() {
         tenure = 0
         ready = false
-        machinesRead = false
         allConfirmedLogged = false
         machines.clear()
         unconfirmed.clear()
@@ -97,8 +88,7 @@
         silence.clear()
         placer.clear()
         teams.clear()
-        toRead.clear()
-        reading = false
+        takeover.clear()
         journal.clear()
         for (job in book.jobs.values) job.forgetHolderState()
         fleet.end()
@@ -139,47 +129,20 @@
 
     // --- Taking over ------------------------------------------------------------------------------------------
 
-    private fun readOn() {
-        if (ready || reading || now.steady < readRetryAt) return
+    private fun takeOver() {
         // Jobs accepted before the grant are in the book once the watch has passed the grant.
         if (book.revision < tenure) return
-        val (prefix, since) = toRead.firstOrNull() ?: run {
+        takeover.drive {
             ready = true
             dirty = true
             log.info("block 0: took over {} machines and {} open jobs under token {}", machines.size, book.jobs.size, election.token)
-            return
-        }
-        reading = true
-        val mine = tenure
-        state.list(prefix, since, Lane.VITAL) { result ->
-            if (tenure != mine) return@list
-            reading = false
-            when (result) {
-                is ReadResult.Found -> {
-                    toRead.removeFirst()
-                    result.value.pairs.forEach { restore(prefix, it) }
-                    if (result.value.hasNext && result.value.pairs.isNotEmpty()) toRead.addFirst(prefix to result.value.pairs.last().key)
-                    if (toRead.none { it.first == Keys.MACHINES }) machinesRead = true
-                }
-                else -> readRetryAt = now.steady + Tuning.STATE_RETRY_MS
-            }
         }
     }
 
-    private fun restore(prefix: String, pair: KeyValue) {
-        val name = pair.key.removePrefix(prefix)
-        if (prefix == Keys.MACHINES) {
-            for (m in journal.restore(name, pair, teams, now.steady)) {
-                machines[m.name] = m
-                m.joined()
-                unconfirmed.add(m)
-            }
-        } else {
-            val id = name.substringBefore('/')
-            val job = book.jobs[id]
-            val record = decodeRecord(FinishedRecord.serializer(), pair.v)
-            if (job == null) journal.remove(pair.key) else if (record != null) job.restoreFinished(record.r, name.substringAfter('/').toIntOrNull() ?: 0)
-        }
+    private fun join(m: Machine) {
+        machines[m.name] = m
+        m.joined()
+        unconfirmed.add(m)
     }
 
     // --- News from workers ------------------------------------------------------------------------------------
@@ -190,7 +153,7 @@
             election.lose("a worker has seen token ${report.baton}")
             return null
         }
-        if (!machinesRead) return emptyList()
+        if (!takeover.machinesRead) return emptyList()
         val m = machines[report.stove] ?: adopt(report) ?: return emptyList()
         // A copy that comes late: its answer reaches no worker that would take it, so it renews no lease, and what it
         // tells is old.
@@ -225,9 +188,7 @@
         val m = Machine(report.stove, report.endpoint, rack, report.hall, report.borrowed, now.steady, teams)
         m.answeredAt = now.steady
         metrics.count("machine.joined")
-        machines[m.name] = m
-        unconfirmed.add(m)
-        m.joined()
+        join(m)
         fleet.arrived(m)
         log.info("machine {} ({}, {}{}) joins the block", m.name, m.rack.label, m.hall, if (m.borrowed) ", spot" else "")
         return m
@@ -266,7 +227,7 @@
             m.answeredAt = now.steady
             dirty = true
         }
-        listTasks(m, report.portions)
+        tasks.listed(m, report.portions)
         if (m.recallAt != 0L) leave(m)
     }
 
@@ -288,142 +249,13 @@
 
     private fun newSession(m: Machine, shift: Long) {
         if (m.shift != 0L && m.placements.isNotEmpty()) log.info("machine {}: new session, {} tasks lost", m.name, m.placements.size)
-        m.placements.values.toList().forEach(::gone)
+        m.placements.values.toList().forEach(tasks::gone)
         m.shift = shift
         m.ticket = 0
         m.reportTicket = 0
         dirty = true
     }
 
-    private fun listTasks(m: Machine, listed: List<PortionReport>) {
-        for (entry in listed) {
-            val p = m.placements.get(entry.`try`) ?: found(m, entry)
-            p.listedAt = m.ticket
-            update(p, entry)
-        }
-        if (m.placements.values.all { it.listedAt == m.ticket }) return
-        for (p in m.placements.values.toList()) {
-            if (p.listedAt == m.ticket) continue
-            // A start that is still on its way may arrive yet; it is sent again until it shows.
-            if (p.seen || (p.stop != Stop.NONE && p.settled(m.reportTicket))) gone(p)
-        }
-    }
-
-    /** An attempt that an earlier holder started, or one of a job that is over. */
-    private fun found(m: Machine, entry: PortionReport): Placement {
-        val id = entry.portion.substringBefore('/')
-        val index = entry.portion.substringAfter('/', "").toIntOrNull() ?: -1
-        val job = book.jobs[id]?.takeIf { index in 0 until it.spec.portions && !it.placements.containsKey(index) }
-        val p = Placement(job, entry.portion, index, entry.`try`, m, now.steady, inherited = true)
-        m.attach(p)
-        if (job == null) {
-            p.stop = Stop.AT_ONCE
-        } else {
-            if (job.finished.get(index)) p.stop = Stop.AT_ONCE
-            job.place(p)
-            if (job.record.cancel) p.stop = Stop.AT_ONCE
-        }
-        return p
-    }
-
-    private fun update(p: Placement, entry: PortionReport) {
-        val first = !p.seen
-        p.seen = true
-        val job = p.job
-        when (entry.status) {
-            PortionStates.FETCHING -> {
-                if (first && job != null) p.machine.touchImage(job.spec.recipe, job.spec.sizeGb)
-                p.status = TaskStatus.FETCHING
-            }
-            PortionStates.RUNNING -> if (p.status != TaskStatus.RUNNING) {
-                p.runningSince = now.steady
-                p.status = TaskStatus.RUNNING
-                log.debug("{} try {} runs on {}", p.task, p.attempt, p.machine.name)
-                if (job != null) {
-                    p.machine.touchImage(job.spec.recipe, job.spec.sizeGb)
-                    // Hurried work goes where its image is.
-                    if (p.machine.fetched.add(job.spec.recipe)) dirty = true
-                }
-            }
-            PortionStates.SAVING -> p.status = TaskStatus.SAVING
-            PortionStates.EXITED -> if (!p.exited) exited(p, entry.cause)
-        }
-    }
-
-    private fun exited(p: Placement, cause: String?) {
-        p.status = TaskStatus.EXITED
-        p.cause = cause
-        dirty = true
-        metrics.count("task.exited.$cause")
-        log.debug("{} try {} on {} exited: {}", p.task, p.attempt, p.machine.name, cause)
-        val job = p.job ?: return
-        val m = p.machine
-        when (cause) {
-            Causes.DONE -> {
-                m.errorJobs.clear()
-                m.errorsInRow = 0
-                job.badTries = 0
-                // The job can be done, so where it failed the machine is at fault.
-                job.errorMachines.forEach { name -> machines[name]?.let { blame(it, job) } }
-                job.errorMachines.clear()
-                if (!job.standing) {
-                    if (p.runningSince > 0 && !p.inherited && job.spec.stirS == 0.0) estimates.ran(job, (now.steady - p.runningSince) / 1000.0)
-                    job.finish(p.index)
-                    if (!job.closed) journal.progress(job)
-                    if (job.complete) journal.close(job, WorkStates.DONE)
-                }
-            }
-            Causes.ERROR -> failedTask(m, job)
-            Causes.FULL, Causes.BUSY -> m.refusedUntil = now.steady + Tuning.REFUSED_MS
-            Causes.UNKNOWN -> job.notBefore = now.steady + Tuning.REFUSED_MS
-        }
-        job.free(p)
-    }
-
-    private fun failedTask(m: Machine, job: Job) {
-        m.errorJobs.add(job.id)
-        m.errorsInRow++
-        job.errorMachines.add(m.name)
-        if (job.errorMachines.size >= Tuning.BAD_JOB_MACHINES) {
-            // Fails wherever it goes: the job is at fault, and no machine is blamed for it.
-            val pause = minOf(Tuning.BAD_JOB_MS shl minOf(job.badTries, 6), Tuning.BAD_JOB_MAX_MS)
-            job.badTries++
-            job.notBefore = now.steady + pause
-            job.errorMachines.forEach { name ->
-                machines[name]?.let {
-                    it.errorJobs.remove(job.id)
-                    it.errorsInRow = 0
-                }
-            }
-            job.errorMachines.clear()
-        } else {
-            m.refusedUntil = now.steady + Tuning.ERROR_PAUSE_MS
-            blame(m, job)
-        }
-    }
-
-    /** Puts [m] aside when several jobs failed on it in a row, or several tasks of one that is done elsewhere. */
-    private fun blame(m: Machine, job: Job) {
-        val several = m.errorJobs.size >= Tuning.SICK_ERRORS
-        val provenElsewhere = m.errorsInRow >= Tuning.SICK_ERRORS && job.id in m.errorJobs && !job.finished.isEmpty
-        if (m.draining || !(several || provenElsewhere)) return
-        log.warn("machine {} fails everything ({} tasks in a row); it is put aside", m.name, m.errorsInRow)
-        m.draining = true
-        // The next holder is to know it too: it would have to fail its own tasks there to find out.
-        journal.bind(m)
-    }
-
-    /** [p] is provably on its machine no more, and no start of it can arrive. */
-    private fun gone(p: Placement) {
-        if (!p.exited) {
-            metrics.count("task.lost")
-            log.debug("{} try {} is gone from {}", p.task, p.attempt, p.machine.name)
-        }
-        p.machine.detach(p)
-        p.job?.free(p)
-        dirty = true
-    }
-
     // --- Orders -----------------------------------------------------------------------------------------------
 
     private fun start(job: Job, index: Int, m: Machine) {
@@ -451,36 +283,6 @@
         courier.want(p.machine)
     }
 
-    /**
-     * The replicas on [m] have settled, and others of [machines] have room for them and their images, in the same zone
-     * where the zone matters: moved there, each is away for no longer than a start takes.
-     */
-    fun canMoveReplicas(m: Machine, machines: List<Machine>): Boolean {
-        val replicas = m.placements.values.filter { it.job?.standing == true && !it.exited }
-        if (replicas.isEmpty()) return true
-        val rooms = machines.filter { it !== m && placer.usable(it) }.associateWith { it.roomLeft() }
-        return replicas.all { p ->
-            val job = p.job ?: return false
-            val settled = p.status == TaskStatus.RUNNING && now.steady - p.runningSince > Tuning.SETTLED_MS && p.stop == Stop.NONE
-            val anywhere = !job.spec.apart && !job.spec.samePlace
-            val target = rooms.entries.firstOrNull { (to, room) ->
-                settled && (anywhere || to.hall == m.hall) && to.allows(job) && to.imageDistance(job.spec.recipe) == 0 && room.fits(job)
-            }
-            target?.value?.take(job)
-            target != null
-        }
-    }
-
-    /** Returns whether there were any. */
-    fun moveReplicas(m: Machine): Boolean {
-        val replicas = m.placements.values.filter { it.goesOn && it.job?.standing == true }
-        for (p in replicas) {
-            stop(p)
-            log.debug("{} moves off {}", p.task, m.name)
-        }
-        return replicas.isNotEmpty()
-    }
-
     private fun stopAll(job: Job) {
         for (p in job.placements.values) {
             if (p.stop == Stop.AT_ONCE) continue
@@ -498,7 +300,7 @@
 
     fun drive() {
         if (tenure == 0L || !election.holding) return
-        readOn()
+        if (!ready) takeOver()
         if (!ready) return
         // A number used twice could be taken for the attempt that a replica has run under since long ago.
         if (attemptSeq > Tuning.ATTEMPTS_A_TENURE) return election.giveUp("attempt numbers are used up")
@@ -559,7 +361,7 @@
     /** The machine and everything on it are gone. */
     fun machineGone(m: Machine) {
         metrics.count("machine.gone")
-        m.placements.values.toList().forEach(::gone)
+        m.placements.values.toList().forEach(tasks::gone)
         machines.remove(m.name)
         m.left()
         unconfirmed.remove(m)
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/Takeover.kt
@@ -0,0 +1,73 @@
+package ledgearch.core
+
+import ledgearch.Tuning
+import ledgearch.state.Lane
+import ledgearch.state.ReadResult
+import ledgearch.state.StateClient
+import ledgearch.wire.KeyValue
+
+/** What a new holder reads before it acts: the machines of the block, then the finished tasks of open jobs. */
+internal class Takeover(
+    private val state: StateClient,
+    private val book: Book,
+    private val journal: Journal,
+    private val teams: Teams,
+    private val now: Now,
+    private val join: (Machine) -> Unit,
+) {
+    private val toRead = ArrayDeque<Pair<String, String?>>()
+    private var reading = false
+    private var retryAt = Long.MIN_VALUE
+
+    /** Changes with every tenure: what an earlier one asked for means nothing here. */
+    private var tenure = 0
+
+    /** Every machine that has a record is known. */
+    var machinesRead = false
+        private set
+
+    fun begin() {
+        toRead.addLast(Keys.MACHINES to null)
+        toRead.addLast(Keys.FINISHED to null)
+    }
+
+    fun clear() {
+        tenure++
+        toRead.clear()
+        reading = false
+        machinesRead = false
+    }
+
+    /** Reads on; [done] once all is read. */
+    fun drive(done: () -> Unit) {
+        if (reading || now.steady < retryAt) return
+        val (prefix, since) = toRead.firstOrNull() ?: return done()
+        reading = true
+        val mine = tenure
+        state.list(prefix, since, Lane.VITAL) { result ->
+            if (tenure != mine) return@list
+            reading = false
+            when (result) {
+                is ReadResult.Found -> {
+                    toRead.removeFirst()
+                    result.value.pairs.forEach { restore(prefix, it) }
+                    if (result.value.hasNext && result.value.pairs.isNotEmpty()) toRead.addFirst(prefix to result.value.pairs.last().key)
+                    if (toRead.none { it.first == Keys.MACHINES }) machinesRead = true
+                }
+                else -> retryAt = now.steady + Tuning.STATE_RETRY_MS
+            }
+        }
+    }
+
+    private fun restore(prefix: String, pair: KeyValue) {
+        val name = pair.key.removePrefix(prefix)
+        if (prefix == Keys.MACHINES) {
+            journal.restore(name, pair, teams, now.steady).forEach(join)
+        } else {
+            val id = name.substringBefore('/')
+            val job = book.jobs[id]
+            val record = decodeRecord(FinishedRecord.serializer(), pair.v)
+            if (job == null) journal.remove(pair.key) else if (record != null) job.restoreFinished(record.r, name.substringAfter('/').toIntOrNull() ?: 0)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/core/TaskNews.kt
@@ -0,0 +1,152 @@
+package ledgearch.core
+
+import ledgearch.Tuning
+import ledgearch.core.placement.Estimates
+import ledgearch.wire.Causes
+import ledgearch.wire.PortionReport
+import ledgearch.wire.PortionStates
+import ledgearch.wire.WorkStates
+import org.slf4j.LoggerFactory
+
+/** What the workers' lists of tasks mean for the attempts that their holder knows. */
+internal class TaskNews(
+    private val book: Book,
+    private val machines: Map<String, Machine>,
+    private val estimates: Estimates,
+    private val journal: Journal,
+    private val metrics: Metrics,
+    private val now: Now,
+    private val changed: () -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("ledgearch.core")
+
+    /** [m] has told all tasks on it. */
+    fun listed(m: Machine, entries: List<PortionReport>) {
+        for (entry in entries) {
+            val p = m.placements.get(entry.`try`) ?: found(m, entry)
+            p.listedAt = m.ticket
+            update(p, entry)
+        }
+        if (m.placements.values.all { it.listedAt == m.ticket }) return
+        for (p in m.placements.values.toList()) {
+            if (p.listedAt == m.ticket) continue
+            // A start that is still on its way may arrive yet; it is sent again until it shows.
+            if (p.seen || (p.stop != Stop.NONE && p.settled(m.reportTicket))) gone(p)
+        }
+    }
+
+    /** An attempt that an earlier holder started, or one of a job that is over. */
+    private fun found(m: Machine, entry: PortionReport): Placement {
+        val id = entry.portion.substringBefore('/')
+        val index = entry.portion.substringAfter('/', "").toIntOrNull() ?: -1
+        val job = book.jobs[id]?.takeIf { index in 0 until it.spec.portions && !it.placements.containsKey(index) }
+        val p = Placement(job, entry.portion, index, entry.`try`, m, now.steady, inherited = true)
+        m.attach(p)
+        if (job == null) {
+            p.stop = Stop.AT_ONCE
+        } else {
+            if (job.finished.get(index)) p.stop = Stop.AT_ONCE
+            job.place(p)
+            if (job.record.cancel) p.stop = Stop.AT_ONCE
+        }
+        return p
+    }
+
+    private fun update(p: Placement, entry: PortionReport) {
+        val first = !p.seen
+        p.seen = true
+        val job = p.job
+        when (entry.status) {
+            PortionStates.FETCHING -> {
+                if (first && job != null) p.machine.touchImage(job.spec.recipe, job.spec.sizeGb)
+                p.status = TaskStatus.FETCHING
+            }
+            PortionStates.RUNNING -> if (p.status != TaskStatus.RUNNING) {
+                p.runningSince = now.steady
+                p.status = TaskStatus.RUNNING
+                log.debug("{} try {} runs on {}", p.task, p.attempt, p.machine.name)
+                if (job != null) {
+                    p.machine.touchImage(job.spec.recipe, job.spec.sizeGb)
+                    // Hurried work goes where its image is.
+                    if (p.machine.fetched.add(job.spec.recipe)) changed()
+                }
+            }
+            PortionStates.SAVING -> p.status = TaskStatus.SAVING
+            PortionStates.EXITED -> if (!p.exited) exited(p, entry.cause)
+        }
+    }
+
+    private fun exited(p: Placement, cause: String?) {
+        p.status = TaskStatus.EXITED
+        p.cause = cause
+        changed()
+        metrics.count("task.exited.$cause")
+        log.debug("{} try {} on {} exited: {}", p.task, p.attempt, p.machine.name, cause)
+        val job = p.job ?: return
+        val m = p.machine
+        when (cause) {
+            Causes.DONE -> {
+                m.errorJobs.clear()
+                m.errorsInRow = 0
+                job.badTries = 0
+                // The job can be done, so where it failed the machine is at fault.
+                job.errorMachines.forEach { name -> machines[name]?.let { blame(it, job) } }
+                job.errorMachines.clear()
+                if (!job.standing) {
+                    if (p.runningSince > 0 && !p.inherited && job.spec.stirS == 0.0) estimates.ran(job, (now.steady - p.runningSince) / 1000.0)
+                    job.finish(p.index)
+                    if (!job.closed) journal.progress(job)
+                    if (job.complete) journal.close(job, WorkStates.DONE)
+                }
+            }
+            Causes.ERROR -> failedTask(m, job)
+            Causes.FULL, Causes.BUSY -> m.refusedUntil = now.steady + Tuning.REFUSED_MS
+            Causes.UNKNOWN -> job.notBefore = now.steady + Tuning.REFUSED_MS
+        }
+        job.free(p)
+    }
+
+    private fun failedTask(m: Machine, job: Job) {
+        m.errorJobs.add(job.id)
+        m.errorsInRow++
+        job.errorMachines.add(m.name)
+        if (job.errorMachines.size >= Tuning.BAD_JOB_MACHINES) {
+            // Fails wherever it goes: the job is at fault, and no machine is blamed for it.
+            val pause = minOf(Tuning.BAD_JOB_MS shl minOf(job.badTries, 6), Tuning.BAD_JOB_MAX_MS)
+            job.badTries++
+            job.notBefore = now.steady + pause
+            job.errorMachines.forEach { name ->
+                machines[name]?.let {
+                    it.errorJobs.remove(job.id)
+                    it.errorsInRow = 0
+                }
+            }
+            job.errorMachines.clear()
+        } else {
+            m.refusedUntil = now.steady + Tuning.ERROR_PAUSE_MS
+            blame(m, job)
+        }
+    }
+
+    /** Puts [m] aside when several jobs failed on it in a row, or several tasks of one that is done elsewhere. */
+    private fun blame(m: Machine, job: Job) {
+        val several = m.errorJobs.size >= Tuning.SICK_ERRORS
+        val provenElsewhere = m.errorsInRow >= Tuning.SICK_ERRORS && job.id in m.errorJobs && !job.finished.isEmpty
+        if (m.draining || !(several || provenElsewhere)) return
+        log.warn("machine {} fails everything ({} tasks in a row); it is put aside", m.name, m.errorsInRow)
+        m.draining = true
+        // The next holder is to know it too: it would have to fail its own tasks there to find out.
+        journal.bind(m)
+    }
+
+    /** [p] is provably on its machine no more, and no start of it can arrive. */
+    fun gone(p: Placement) {
+        if (!p.exited) {
+            metrics.count("task.lost")
+            log.debug("{} try {} is gone from {}", p.task, p.attempt, p.machine.name)
+        }
+        p.machine.detach(p)
+        p.job?.free(p)
+        changed()
+    }
+}
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -297,7 +297,7 @@
     private fun returnEmpty(holder: Holder) {
         val active = holder.machines.values.filter { it.inService }
         for (m in holder.machines.values.toList()) {
-            if (m.draining && m.confirmed && holder.canMoveReplicas(m, active)) holder.moveReplicas(m)
+            if (m.draining && m.confirmed && holder.replicas.canMove(m, active)) holder.replicas.move(m)
             if ((m.draining || m.retiring) && m.placements.isEmpty() && m.confirmed && !m.releasing) {
                 log.info("machine {} is empty and not needed; it is returned", m.name)
                 release(m)
@@ -335,11 +335,11 @@
             .filter { c -> c.borrowed || ordinary - c.rack.vcpus >= ordinaryLoad.value }
             .filter { c -> c.borrowed || (fixed[c.hall] ?: 0) > 1 }
             .sortedWith(compareBy({ -price(it.rack, it.borrowed) }, { it.usedCpus }))
-            .firstOrNull { holder.canMoveReplicas(it, active) } ?: return false
+            .firstOrNull { holder.replicas.canMove(it, active) } ?: return false
         m.retiring = true
         log.info("machine {} is not needed: {} of {} processors used, {} to spare", m.name, used.toInt(), capacity.toInt(), reserve.toInt())
         // Replicas of several machines would move to the same room, and some wait for their image elsewhere.
-        return !holder.moveReplicas(m)
+        return !holder.replicas.move(m)
     }
 
     /** What the tasks of [job] take if they belong on ordinary machines: they may not or should not run on spot. */
