--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -230,13 +230,10 @@
     const val ZONE_MACHINES = 5
 
     /**
-     * ms. So long the machines of a zone that is cut off are not released: their tasks go on until their leases end, or
-     * for longer under a holder that is cut off with them, and zones come back after about a minute.
+     * ms. So long the machines of a zone that is cut off are not released, where keeping them helps: zones come back after
+     * about a minute, and no job's wait may come near four.
      */
-    const val CUT_ZONE_MS = 90_000L
-
-    /** ms. The same for machines that a new holder has not confirmed: older jobs' tasks wait for them. */
-    const val CUT_ZONE_UNCONFIRMED_MS = 60_000L
+    const val CUT_ZONE_MS = 120_000L
 
     /** ms. A gap in the owner's own time that makes all silence look longer than it was. */
     const val OWN_PAUSE_MS = 700L
--- a/src/main/kotlin/ledgearch/core/CutZones.kt
+++ b/src/main/kotlin/ledgearch/core/CutZones.kt
@@ -25,6 +25,8 @@
     /** Steady ms at which [hall] was last heard again: silence counts from then on, as after any trouble of this node's own. */
     fun backAt(hall: String) = backAt[hall] ?: Long.MIN_VALUE / 2
 
+    val isEmpty get() = since.isEmpty()
+
     operator fun contains(hall: String) = hall in since
 
     /** Returns the zones that are heard again. */
@@ -36,7 +38,7 @@
             zone.machines++
             if (isHeard(m)) zone.heard++
         }
-        val anyWell = zones.values.any { it.machines >= Tuning.ZONE_MACHINES && it.heard > it.machines * Tuning.MOST }
+        val anyWell = zones.values.any { it.heard > it.machines * Tuning.MOST }
         val cut = zones.filterValues { anyWell && it.machines >= Tuning.ZONE_MACHINES && it.heard < it.machines * Tuning.HEARD_SHARE }
         val back = since.keys.filterTo(HashSet()) { it !in cut }
         for (hall in back) {
@@ -61,8 +63,8 @@
      * others' tasks begin anew elsewhere the sooner the better.
      */
     fun mayComeBack(m: Machine, servedWithin: String?): Boolean {
-        val silent = now.steady - (since[m.hall] ?: return false)
-        if (!m.confirmed) return servedWithin == m.hall && silent < Tuning.CUT_ZONE_UNCONFIRMED_MS
-        return silent < Tuning.CUT_ZONE_MS && others < 2 && m.placements.values.any { it.job?.spec?.apart == true && it.job.standing && !it.exited }
+        if (now.steady - (since[m.hall] ?: return false) >= Tuning.CUT_ZONE_MS) return false
+        if (!m.confirmed) return servedWithin == m.hall
+        return others < 2 && m.placements.values.any { it.job?.spec?.apart == true && it.job.standing && !it.exited }
     }
 }
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -295,6 +295,9 @@
 
     private fun areaBefore() = book.holderBefore(settings.node)?.let { former -> settings.members.firstOrNull { it.node == former }?.area }
 
+    /** Next to nothing is heard from some zone. */
+    val anyCutOff get() = silence.anyCutOff
+
     /** Next to nothing is heard from this zone. */
     fun isCutOff(hall: String) = silence.isCutOff(hall)
 
--- a/src/main/kotlin/ledgearch/core/Silence.kt
+++ b/src/main/kotlin/ledgearch/core/Silence.kt
@@ -31,6 +31,8 @@
 
     private fun mayComeBack(m: Machine) = cutZones.mayComeBack(m, areaBefore())
 
+    val anyCutOff get() = !cutZones.isEmpty
+
     fun isCutOff(hall: String) = hall in cutZones
 
     fun drive() {
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -204,7 +204,8 @@
         load.now(holder.machines.values.sumOf { it.usedCpus })
         ordinaryLoad.now(book().jobs.values.sumOf { ordinaryCpus(holder, it) })
         val needs = Demand.of(book().jobs.values, holder, now)
-        if (needs.isEmpty()) {
+        // With a zone cut off, tasks that may run there wait for it unseen: what is up now will be needed.
+        if (needs.isEmpty() && !holder.anyCutOff) {
             if (calmSince == 0L) calmSince = now.steady
         } else {
             calmSince = 0L
