--- a/src/main/kotlin/ledgearch/core/Book.kt
+++ b/src/main/kotlin/ledgearch/core/Book.kt
@@ -40,8 +40,8 @@
     var grant: GrantRecord? = null
         private set
 
-    /** Who held the block before the present grant, as far as this node has seen. */
-    private var formerNode: String? = null
+    /** Who held the block before, as far as this node has seen, and at what steady ms that was last known. */
+    private val heldUntil = HashMap<String, Long>()
 
     /** Stamp of the grant's key, 0 when it does not exist. */
     var grantStamp = 0L
@@ -212,15 +212,15 @@
 
     private fun setGrant(value: JsonElement?, stamp: Long) {
         if (stamp == grantStamp) return
-        val before = grant?.node
+        grant?.let { heldUntil[it.node] = now.steady }
         grant = value?.let { decodeRecord(GrantRecord.serializer(), it) }
-        if (before != null && before != grant?.node) formerNode = before
         grantStamp = stamp
         listener.grantChanged()
     }
 
-    /** The last to hold the block before [node] did. */
-    fun holderBefore(node: String): String? = grant?.node?.takeIf { it != node } ?: formerNode
+    /** Who but [node] has held the block within the last [ms]. */
+    fun holdersOfLate(node: String, ms: Long): Set<String> =
+        (heldUntil.filterValues { now.steady - it < ms }.keys + setOfNotNull(grant?.node)) - node
 
     private fun setSilence(value: JsonElement?) {
         silence = decodeRecord(SilenceRecord.serializer(), value)
--- a/src/main/kotlin/ledgearch/core/CutZones.kt
+++ b/src/main/kotlin/ledgearch/core/CutZones.kt
@@ -15,10 +15,14 @@
 
     private val log = LoggerFactory.getLogger("ledgearch.core")
     private val since = HashMap<String, Long>()
+
+    /** Machines that had such replicas: once their leases have run out nothing is on them, but there they can start again. */
+    private val kept = HashSet<Machine>()
     private val backAt = HashMap<String, Long>()
 
     fun clear() {
         since.clear()
+        kept.clear()
         backAt.clear()
     }
 
@@ -40,31 +44,38 @@
         }
         val anyWell = zones.values.any { it.heard > it.machines * Tuning.MOST }
         val cut = zones.filterValues { anyWell && it.machines >= Tuning.ZONE_MACHINES && it.heard < it.machines * Tuning.HEARD_SHARE }
-        val back = since.keys.filterTo(HashSet()) { it !in cut }
+        val back = since.filterTo(HashMap()) { (hall, began) -> isBack(zones[hall], began) }.keys
         for (hall in back) {
             log.info("zone {} is heard again, or gone", hall)
             since.remove(hall)
+            kept.removeIf { it.hall == hall }
             backAt[hall] = now.steady
         }
         for ((hall, zone) in cut) {
             if (since.putIfAbsent(hall, now.steady) == null) log.warn("zone {}: {} of {} machines are heard", hall, zone.heard, zone.machines)
         }
-        others = zones.size - cut.size
+        others = zones.keys.count { it !in since }
         return back
     }
 
-    /** Zones with enough machines to tell that are not cut off. */
+    /** Something of the zone is heard, or too little of it is left to tell for how long it will be cut off. */
+    private fun isBack(zone: Heard?, began: Long) = when {
+        zone == null || zone.machines < Tuning.ZONE_MACHINES && zone.heard == 0 -> now.steady - began >= Tuning.CUT_ZONE_MS
+        else -> zone.heard >= zone.machines * Tuning.HEARD_SHARE
+    }
+
+    /** Zones that are not cut off. */
     private var others = 0
 
     /**
      * [m] is silent with its whole zone, it is worth keeping until the zone is back, and not yet given up. Unconfirmed, it is
-     * where the holder before this one is cut off with it ([servedWithin]) and keeps its leases alive; else nobody does, and
+     * where a holder before this one is cut off with it ([servedWithin]) and keeps its leases alive; else nobody does, and
      * older jobs only wait for it. Confirmed, it is for replicas that may not all be where the rest of the fleet is: the
      * others' tasks begin anew elsewhere the sooner the better.
      */
-    fun mayComeBack(m: Machine, servedWithin: String?): Boolean {
+    fun mayComeBack(m: Machine, servedWithin: Set<String>): Boolean {
         if (now.steady - (since[m.hall] ?: return false) >= Tuning.CUT_ZONE_MS) return false
-        if (!m.confirmed) return servedWithin == m.hall
-        return others < 2 && m.placements.values.any { it.job?.spec?.apart == true && it.job.standing && !it.exited }
+        if (!m.confirmed) return m.hall in servedWithin
+        return m in kept || (others < 2 && m.placements.values.any { it.job?.spec?.apart == true && it.job.standing && !it.exited }).also { if (it) kept.add(m) }
     }
 }
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -43,7 +43,7 @@
     val reliability = Reliability(estimates, ranking)
     private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, estimates, metrics, ::start)
     private val courier = Courier(transport, election, now, own, Tuning.probesAtOnce(settings.deployment.quota.cpu), Tuning.callsAtOnce(settings.deployment.quota.fdLimit), { machines[it.name] === it }, ::answered)
-    private val silence = Silence(settings.deployment.workers, machines, election, courier, fleet, reliability, now, own, ::areaBefore) { newSession(it, it.shift + 1) }
+    private val silence = Silence(settings.deployment.workers, machines, election, courier, fleet, reliability, now, own, ::areasBefore) { newSession(it, it.shift + 1) }
 
     /** The first token of this tenure: a worker that has seen it no longer follows any earlier holder. */
     private var tenure = 0L
@@ -293,7 +293,10 @@
 
     // --- Time -------------------------------------------------------------------------------------------------
 
-    private fun areaBefore() = book.holderBefore(settings.node)?.let { former -> settings.members.firstOrNull { it.node == former }?.area }
+    private fun areasBefore(): Set<String> {
+        val holders = book.holdersOfLate(settings.node, Tuning.CUT_ZONE_MS)
+        return settings.members.filter { it.node in holders }.mapTo(HashSet()) { it.area }
+    }
 
     /** Next to nothing is heard from some zone. */
     val anyCutOff get() = silence.anyCutOff
--- a/src/main/kotlin/ledgearch/core/Silence.kt
+++ b/src/main/kotlin/ledgearch/core/Silence.kt
@@ -17,8 +17,8 @@
     private val reliability: Reliability,
     private val now: Now,
     private val own: OwnTime,
-    /** The zone of the controller that held the block before, if that is known. */
-    private val areaBefore: () -> String?,
+    /** The zones of the controllers that held the block of late. */
+    private val areasBefore: () -> Set<String>,
     private val sessionEnded: (Machine) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
@@ -29,7 +29,7 @@
 
     fun clear() = cutZones.clear()
 
-    private fun mayComeBack(m: Machine) = cutZones.mayComeBack(m, areaBefore())
+    private fun mayComeBack(m: Machine) = cutZones.mayComeBack(m, areasBefore())
 
     val anyCutOff get() = !cutZones.isEmpty
 
