--- a/src/main/kotlin/ledgearch/core/Courier.kt
+++ b/src/main/kotlin/ledgearch/core/Courier.kt
@@ -21,6 +21,7 @@
     private val callsAtOnce: Int,
     private val isHere: (Machine) -> Boolean,
     private val heard: (Machine, CheckIn) -> Unit,
+    private val begunAnew: (Machine) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
 
@@ -135,10 +136,14 @@
     private fun direct(m: Machine, list: List<Order>, timeoutMs: Long, done: (CheckIn?) -> Unit) {
         val mine = tenure
         val body = WireJson.encodeToString(OrdersRequest.serializer(), OrdersRequest(election.token, maxOf(m.shift, 1L), list))
+        val shift = m.shift
+        val ticket = m.ticket
         transport.call(m.endpoint, "POST", "/orders", body, timeoutMs) { reply ->
             if (tenure != mine) return@call
             val answer = if (reply.status == 200 || reply.status == 409) parse(reply)?.takeIf { it.stove == m.name } else null
             if (answer != null) reached(m)
+            // Numbers only grow, and this answer was made after the request: they have begun anew, and the worker with them.
+            if (answer != null && isHere(m) && (answer.shift < shift || (answer.shift == shift && answer.ticket <= ticket))) begunAnew(m)
             done(answer)
         }
     }
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -42,7 +42,11 @@
     private val ranking = Ranking(settings.deployment.objectives, estimates, now)
     val reliability = Reliability(estimates, ranking)
     private val placer = Placer(machines, teams, now, ranking, Preemption(teams, ranking, now, ::preempt), reliability, estimates, metrics, ::start)
-    private val courier = Courier(transport, election, now, own, Tuning.probesAtOnce(settings.deployment.quota.cpu), Tuning.callsAtOnce(settings.deployment.quota.fdLimit), { machines[it.name] === it }, ::answered)
+    private val courier = Courier(
+        transport, election, now, own,
+        Tuning.probesAtOnce(settings.deployment.quota.cpu), Tuning.callsAtOnce(settings.deployment.quota.fdLimit),
+        { machines[it.name] === it }, ::answered, ::begunAnew,
+    )
     private val silence = Silence(settings.deployment.workers, machines, election, courier, fleet, reliability, now, own, ::areasBefore) { newSession(it, it.shift + 1) }
 
     /** The first token of this tenure: a worker that has seen it no longer follows any earlier holder. */
@@ -181,6 +185,16 @@
         if (answer.baton > election.token) election.lose("a worker has seen token ${answer.baton}") else hear(m, answer, isReport = false)
     }
 
+    /**
+     * The machine's worker has lost its memory, numbers included: nothing that it tells from now on can be told from late
+     * copies of what it told before, so it is not used any more. What ran there is free once it is given back.
+     */
+    private fun begunAnew(m: Machine) {
+        if (m.releasing) return
+        log.warn("machine {} has begun anew with nothing; it is released", m.name)
+        fleet.release(m)
+    }
+
     /** A machine without a record: nothing was ever started on it, since the record comes first. */
     private fun adopt(report: CheckIn): Machine? {
         val rack = book.racks[report.rack] ?: return null
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -95,6 +95,7 @@
             }
             "resume" -> world.workers[host(world, w[1])]?.hanging = false
             "sick" -> world.workers.getValue(host(world, w[1])).sick = true
+            "restart" -> world.workers.getValue(host(world, w[1])).restart()
             "notice" -> world.workers.getValue(host(world, w[1])).recallAt = world.clock.now + seconds(2)
             "die" -> host(world, w[1]).let {
                 world.workers.getValue(it).alive = false
--- a/src/test/kotlin/ledgearch/world/WorkerStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/WorkerStandIn.kt
@@ -64,6 +64,18 @@
         changed = true
     }
 
+    /** The machine ends and is back at once, with nothing on it and nothing remembered. */
+    fun restart() {
+        tasks.clear()
+        shift = 1
+        ticket = 0
+        baton = 0
+        lastAnswered = clock.now
+        reportSeq++
+        waitingSince = -1
+        lastReport = Long.MIN_VALUE / 2
+    }
+
     private fun snapshot() = CheckIn(
         name, endpoint, type, hall, borrowed, shift, ++ticket, baton,
         if (recallAt > 0) (recallAt - clock.now) / 1000.0 else null,
