--- a/src/main/kotlin/ledgearch/core/CutZones.kt
+++ b/src/main/kotlin/ledgearch/core/CutZones.kt
@@ -68,14 +68,16 @@
     private var others = 0
 
     /**
-     * [m] is silent with its whole zone, it is worth keeping until the zone is back, and not yet given up. Unconfirmed, it is
-     * where a holder before this one is cut off with it ([servedWithin]) and keeps its leases alive; else nobody does, and
-     * older jobs only wait for it. Confirmed, it is for replicas that may not all be where the rest of the fleet is: the
-     * others' tasks begin anew elsewhere the sooner the better.
+     * [m] is silent with its whole zone, it is worth keeping until the zone is back, and not yet given up. That is so where
+     * only one other zone is heard, in which replicas that keep to two can't all be. Unconfirmed, [m] is worth keeping if a
+     * holder before this one may be cut off with it ([servedWithin]) and keep its lease alive; else nobody does, and older
+     * jobs only wait for it. Confirmed, it is if it has such replicas; all else begins anew elsewhere the sooner the better.
      */
     fun mayComeBack(m: Machine, servedWithin: Set<String>): Boolean {
-        if (now.steady - (since[m.hall] ?: return false) >= Tuning.CUT_ZONE_MS) return false
+        if (others >= 2 || now.steady - (since[m.hall] ?: return false) >= Tuning.CUT_ZONE_MS) return false
         if (!m.confirmed) return m.hall in servedWithin
-        return m in kept || (others < 2 && m.placements.values.any { it.job?.spec?.apart == true && it.job.standing && !it.exited }).also { if (it) kept.add(m) }
+        return m in kept || holdsTwoZoneReplica(m).also { if (it) kept.add(m) }
     }
+
+    private fun holdsTwoZoneReplica(m: Machine) = m.placements.values.any { it.job?.spec?.apart == true && it.job.standing && !it.exited }
 }
