--- a/src/main/kotlin/ledgearch/core/placement/Estimates.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Estimates.kt
@@ -14,9 +14,6 @@
         /** Logarithm of run time over estimate: errors are factors, so their logarithms are averaged. */
         var logRatio = 0.0
         var weight = 0.0
-
-        /** What an estimate is multiplied by; the weight of one job stands for the owners being right on the average. */
-        var correction = 1.0
     }
 
     private val seen = HashMap<String, Seen>()
@@ -29,12 +26,14 @@
         val s = seen.getOrPut(job.spec.menu) { Seen() }
         s.weight = minOf(s.weight + w, Tuning.ESTIMATE_JOBS)
         s.logRatio += (ln(seconds / job.spec.cookS) - s.logRatio) * minOf(1.0, w / s.weight)
-        s.correction = exp(s.logRatio * s.weight / (s.weight + 1.0))
     }
 
     fun seconds(job: Job): Double {
         if (job.runTime.tasks > 0) return job.runTime.mean
-        return job.spec.cookS * (seen[job.spec.menu]?.correction ?: 1.0)
+        val s = seen[job.spec.menu]
+        // The weight of one job stands for the owners being right on the average.
+        val correction = if (s == null) 1.0 else exp(s.logRatio * s.weight / (s.weight + 1.0))
+        return job.spec.cookS * correction
     }
 
     /** Processors that the running tasks of [jobs] free each second. */
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -80,10 +80,9 @@
         val misfits = HashMap<List<Any>, Misfits>()
         val halls = prospects.mapTo(HashSet()) { it.machine.hall }
         // Hundreds of jobs may wait and find nothing to stop: that is asked of the jobs that run, not of each machine.
-        val cheapestFirst by lazy(LazyThreadSafetyMode.NONE) { prospects.filter { it.victims.isNotEmpty() }.sortedBy { it.victims.first().cost } }
         val running by lazy(LazyThreadSafetyMode.NONE) { prospects.flatMapTo(HashSet()) { at -> at.victims.map { it.job } } }
         for (job in waiting) {
-            val beside = { at: Prospect -> !sparing || at.machine.imageDistance(job.spec.recipe) == 0 }
+            val places = if (sparing) prospects.filter { it.machine.imageDistance(job.spec.recipe) == 0 } else prospects
             val zones = Zones(job)
             val yielding by lazy(LazyThreadSafetyMode.NONE) { yielding(job, if (running.any { mayYield(job, it) }) prospects else emptyList()) }
             var hunt: Hunt? = null
@@ -96,9 +95,7 @@
                 val allowed = halls.filterTo(HashSet()) { zones.allows(it) }
                 if (!sparing && tried.covers(job, allowed)) break
                 val yields = if (done < teams.roomOnceStopped(job)) null else yielding.next() ?: break
-                val h = hunt?.takeIf { it.guaranteed == guaranteed } ?: Hunt(job, guaranteed, prospects.filter(beside), zones, sparing) {
-                    if (running.any { mayStop(job, guaranteed, it) }) cheapestFirst.filter(beside) else emptyList()
-                }.also { hunt = it }
+                val h = hunt?.takeIf { it.guaranteed == guaranteed } ?: Hunt(job, guaranteed, places, zones, sparing, running.any { mayStop(job, guaranteed, it) }).also { hunt = it }
                 val prospect = h.next()
                 if (prospect == null) {
                     if (!sparing) tried.add(job, allowed)
@@ -140,8 +137,7 @@
 
     /**
      * The search for room for the tasks of one job: machines with room first, those with its image before others, then
-     * those where room is made at the least cost. They are ordered once, looked at only while they may offer less than the best
-     * so far, and an offer is checked when its turn comes.
+     * those where room is made at the least cost. They are ordered once, and an offer is checked when its turn comes.
      */
     private inner class Hunt(
         private val job: Job,
@@ -149,17 +145,14 @@
         prospects: List<Prospect>,
         private val zones: Zones,
         private val sparing: Boolean,
-        private val cheapestFirst: () -> List<Prospect>,
+        private val mayStopAny: Boolean,
     ) {
+        private val allowed = prospects.filter { it.machine.allows(job) }
         private val roomy = PriorityQueue<Pair<Int, Prospect>>(compareBy { it.first })
         private var offers: PriorityQueue<Offer>? = null
 
-        /** Machines not yet looked at: no offer of theirs costs less than the cheapest task there. */
-        private var unseen: Iterator<Prospect> = emptyList<Prospect>().iterator()
-        private var nextUnseen: Prospect? = null
-
         init {
-            prospects.forEach { if (it.machine.allows(job)) addRoomy(it) }
+            allowed.forEach(::addRoomy)
         }
 
         private fun addRoomy(p: Prospect) {
@@ -176,13 +169,11 @@
                 val p = roomy.poll()?.second ?: break
                 if (p.room.fits(job) && zones.allows(p.machine.hall)) return p
             }
-            val open = offers ?: PriorityQueue<Offer>(compareBy { it.cost }).also {
-                offers = it
-                unseen = cheapestFirst().iterator()
-                advance()
+            val open = offers ?: PriorityQueue<Offer>(compareBy { it.cost }).also { all ->
+                offers = all
+                if (mayStopAny) allowed.forEach { addOffer(all, it) }
             }
             while (true) {
-                lookOn(open)
                 val offer = open.poll() ?: return null
                 val prospect = offer.prospect
                 if (!zones.allows(prospect.machine.hall)) continue
@@ -200,21 +191,6 @@
             }
         }
 
-        private fun advance() {
-            nextUnseen = if (unseen.hasNext()) unseen.next() else null
-        }
-
-        /** Looks at machines until none that is left can offer less than the best offer so far. */
-        private fun lookOn(open: PriorityQueue<Offer>) {
-            while (true) {
-                val p = nextUnseen ?: return
-                val best = open.peek()
-                if (best != null && p.victims.first().cost > best.cost) return
-                if (p.machine.allows(job)) addOffer(open, p)
-                advance()
-            }
-        }
-
         private fun addOffer(to: PriorityQueue<Offer>, p: Prospect) {
             offer(p)?.let { to.add(it) }
         }
