--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -63,17 +63,18 @@
         misfits.clear()
         for (job in open) if (!job.standing && ranking.hurried(job)) hurriedImages.add(job.spec.recipe)
         val usable = withoutHeld(serveStarved(open, all), all)
+        val running = jobs.filter { it.placements.isNotEmpty() }
         val waiting = ArrayList<Job>()
         for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
             val ordered = ranking.order(sameUrgency)
             for (job in ordered) {
                 if (ranking.hurried(job)) startIn(job, usable.filter { it.imageDistance(job.spec.recipe) == 0 }) else startAnywhere(job, usable)
             }
-            startHurried(ordered.filter { it.pendingCount > 0 && ranking.hurried(it) }, usable)
+            startHurried(ordered.filter { it.pendingCount > 0 && ranking.hurried(it) }, usable, running)
             ordered.filterTo(waiting) { it.pendingCount > 0 }
         }
         if (waiting.isEmpty()) return
-        metrics.spend("preemption") { preemption.pass(waiting, usable, estimates.freedASecond(jobs)) }
+        metrics.spend("preemption") { preemption.pass(waiting, usable, running, estimates.freedASecond(jobs)) }
         metrics.spend("queues") { bindWaiting(waiting, usable) }
     }
 
@@ -111,9 +112,9 @@
      * Hurried tasks for which room can't be made at once where their image is start anywhere, and before less urgent
      * work takes that room: the image is there for the next.
      */
-    private fun startHurried(jobs: List<Job>, usable: List<Machine>) {
+    private fun startHurried(jobs: List<Job>, usable: List<Machine>, running: List<Job>) {
         if (jobs.isEmpty()) return
-        val placed = metrics.spend("hurried") { preemption.besideImages(jobs, usable) }
+        val placed = metrics.spend("hurried") { preemption.besideImages(jobs, usable, running) }
         for (job in jobs) startAnywhere(job, usable, leave = placed[job] ?: 0)
     }
 
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -27,8 +27,8 @@
 
     /** Room on a machine once what is being stopped there is gone, less what this pass has promised of it. */
     private inner class Prospect(val machine: Machine) {
-        val room = Room(machine.rack).apply {
-            for (p in machine.placements.values) if (p.goesOn) take(p.job)
+        val room = machine.roomLeft().apply {
+            for (p in machine.placements.values) if (!p.exited && !p.goesOn) give(p.job)
         }
 
         /** What goes on here and is not spared, the cheapest to stop first. */
@@ -47,10 +47,11 @@
     private class Offer(val prospect: Prospect, val victims: List<Placement>, val cost: Double)
 
     /**
-     * [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them; [freesASecond]:
-     * processors that running tasks free. Where that much frees soon, nothing is stopped for a job that has just come.
+     * [waiting]: jobs in serving order that found no room; [usable]: machines that may serve them; [running]: jobs with tasks
+     * on machines, of which it is asked whether anything may be stopped before each machine is; [freesASecond]: processors
+     * that running tasks free. Where that much frees soon, nothing is stopped for a job that has just come.
      */
-    fun pass(waiting: List<Job>, usable: List<Machine>, freesASecond: Double) {
+    fun pass(waiting: List<Job>, usable: List<Machine>, running: List<Job>, freesASecond: Double) {
         var freed = freesASecond * Tuning.PATIENCE_S * Tuning.CHURN_COUNTED
         val claimants = waiting.filter { job ->
             val served = ranking.patient(job, Tuning.PATIENCE_S) && freed >= job.pendingCount * job.spec.vcpus
@@ -58,29 +59,27 @@
             !served && (teams.anyLessUrgent(job) || mayClaim(job, 1))
         }
         if (claimants.isEmpty()) return
-        claim(claimants, usable.map { Prospect(it) }, sparing = false)
+        claim(claimants, usable.map { Prospect(it) }, running, sparing = false)
     }
 
     /**
      * Room for [hurried] jobs on machines that have their image, at the cost of no other job's aims. Returns for each
      * job how many of its tasks get it at once.
      */
-    fun besideImages(hurried: List<Job>, usable: List<Machine>): Map<Job, Int> {
+    fun besideImages(hurried: List<Job>, usable: List<Machine>, running: List<Job>): Map<Job, Int> {
         val prospects = usable.filter { m -> hurried.any { m.imageDistance(it.spec.recipe) == 0 } }.map { Prospect(it) }
-        return claim(hurried, prospects, sparing = true)
+        return claim(hurried, prospects, running, sparing = true)
     }
 
     private fun mayClaim(job: Job, tasks: Int) = ranking.claims(job) && teams.mayClaim(job, tasks)
 
     /** Lets each job in turn find or make room for its tasks; returns how many of them each has got it for. */
-    private fun claim(waiting: List<Job>, prospects: List<Prospect>, sparing: Boolean): Map<Job, Int> {
+    private fun claim(waiting: List<Job>, prospects: List<Prospect>, running: List<Job>, sparing: Boolean): Map<Job, Int> {
         val placed = HashMap<Job, Int>()
         // Tasks of each team that have got room here, in processors.
         val promised = HashMap<String, Double>()
         val misfits = HashMap<List<Any>, Misfits>()
         val halls = prospects.mapTo(HashSet()) { it.machine.hall }
-        // Hundreds of jobs may wait and find nothing to stop: that is asked of the jobs that run, not of each machine.
-        val running by lazy(LazyThreadSafetyMode.NONE) { prospects.flatMapTo(HashSet()) { at -> at.victims.map { it.job } } }
         for (job in waiting) {
             val places = if (sparing) prospects.filter { it.machine.imageDistance(job.spec.recipe) == 0 } else prospects
             val zones = Zones(job)
