--- a/src/test/kotlin/ledgearch/MessageTest.kt
+++ b/src/test/kotlin/ledgearch/MessageTest.kt
@@ -7,8 +7,6 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
-import java.nio.file.Path
-import kotlin.io.path.readLines
 import kotlin.random.Random
 
 /**
@@ -18,8 +16,7 @@
 internal class MessageTest {
     @TestFactory
     fun messages(): List<DynamicTest> {
-        val lines = Path.of("src/test/resources/messages.txt").readLines().filter { it.isNotBlank() && !it.startsWith("#") }
-        assertTrue(lines.isNotEmpty())
+        val lines = cases("messages.txt")
         return lines.map { line ->
             val (wanted, message) = line.split(" | ", limit = 2)
             DynamicTest.dynamicTest(line.take(NAME)) {
--- a/src/test/kotlin/ledgearch/OperatorSettingsTest.kt
+++ b/src/test/kotlin/ledgearch/OperatorSettingsTest.kt
@@ -10,7 +10,6 @@
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.io.TempDir
 import java.nio.file.Path
-import kotlin.io.path.readLines
 import kotlin.io.path.writeText
 
 /** The operators' file against the published schema. */
@@ -20,7 +19,7 @@
 
     @TestFactory
     fun files(): List<DynamicTest> =
-        Path.of("src/test/resources/operator-settings.txt").readLines().filter { it.isNotBlank() && !it.startsWith("#") }.map { line ->
+        cases("operator-settings.txt").map { line ->
             val (wanted, text) = line.split(" | ", limit = 2)
             DynamicTest.dynamicTest(line) {
                 val file = folder.resolve("operator.json").apply { writeText(text) }
--- a/src/test/kotlin/ledgearch/PlatformSettingsTest.kt
+++ b/src/test/kotlin/ledgearch/PlatformSettingsTest.kt
@@ -13,7 +13,6 @@
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.io.TempDir
 import java.nio.file.Path
-import kotlin.io.path.readLines
 import kotlin.io.path.writeText
 
 /** The platform's file with one value changed: see `platform-settings.txt`. */
@@ -23,7 +22,7 @@
 
     @TestFactory
     fun files(): List<DynamicTest> =
-        Path.of("src/test/resources/platform-settings.txt").readLines().filter { it.isNotBlank() && !it.startsWith("#") }.map { line ->
+        cases("platform-settings.txt").map { line ->
             val (wanted, path, value) = line.split(" | ", limit = 3)
             DynamicTest.dynamicTest(line) {
                 val file = folder.resolve("platform.json").apply { writeText(changed(path.split('.'), Json.parseToJsonElement(value)).toString()) }
