--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -177,6 +177,9 @@
     /** ms. A withdrawal waits this long for the holder, then the user is told to come back. */
     const val WITHDRAW_MS = 3_000L
 
+    /** Objects and arrays within one another. A submission needs two; the parser's own calls nest as deep, and its stack must not end. */
+    const val SUBMISSION_DEPTH = 200
+
     /** Requests. Waiting for the state service at one time; beyond it users are told to come back at once. */
     const val INTAKE_BACKLOG = 512
 
--- a/src/main/kotlin/ledgearch/cli/RehearsalWorld.kt
+++ b/src/main/kotlin/ledgearch/cli/RehearsalWorld.kt
@@ -56,8 +56,8 @@
     }
 
     private fun job(n: Int) =
-        """{"ref":"job-$n","menu":"m","crew":"t","shape":"sweep","urgency":"urgent","portions":2,"vcpus":1.0,"memoryGb":1.0,
-            "recipe":"i","sizeGb":1.0,"cookS":20.0,"serveS":90.0,"borrowed":true}"""
+        """{"ref":"job-$n","menu":"m","crew":"t","shape":"sweep","urgency":"urgent","portions":2,"vcpus":1.0,"accelerators":0.0,
+            "memoryGb":1.0,"recipe":"i","sizeGb":1.0,"samePlace":false,"apart":false,"borrowed":true,"cookS":20.0,"stirS":0.0,"plateS":0.0,"serveS":90.0}"""
 
     private fun report(n: Int) =
         """{"stove":"host-1","endpoint":"${settings.outside.cloud}","rack":"r","hall":"z","shift":1,"ticket":$n,"baton":11,
--- a/src/main/kotlin/ledgearch/core/Book.kt
+++ b/src/main/kotlin/ledgearch/core/Book.kt
@@ -63,7 +63,7 @@
 
     fun rememberFinal(id: String, record: FinalRecord) {
         finals.put(id, record)
-        jobs.remove(id)?.let { listener.jobClosed(it, id, record.st) }
+        listener.jobClosed(jobs.remove(id), id, record.st)
     }
 
     /** Reads or watches on whenever neither is under way. */
@@ -77,7 +77,12 @@
      * A job that this node made durable in a transaction that also compared its own grant. No other way leads past
      * the watch: a holder that learnt of a job out of order could start what a newer holder starts too.
      */
-    fun acceptUnderGrant(record: JobRecord, stamp: Long) = put(record, stamp)
+    fun acceptUnderGrant(record: JobRecord, stamp: Long) {
+        if (!isPast(record.spec.ref, stamp)) put(record, stamp)
+    }
+
+    /** The copy has passed this record and has no such job: it is over, whether or not its final state is remembered. */
+    private fun isPast(id: String, stamp: Long) = stamp <= revision && id !in jobs
 
     private fun put(record: JobRecord, stamp: Long) {
         val id = record.spec.ref
@@ -144,7 +149,7 @@
         setSilence(listing.silence?.v)
         setGrant(listing.grant?.v, listing.grant?.stamp ?: 0)
         listing.catalog?.v?.let { setCatalog(it) }
-        for (pair in listing.jobs) putJob(pair.key, pair.v, pair.stamp)
+        for (pair in listing.jobs) if (!isPast(pair.key.removePrefix(Keys.JOBS), pair.stamp)) putJob(pair.key, pair.v, pair.stamp)
         revision = listing.firstEdition
         loaded = true
         reading = false
--- a/src/main/kotlin/ledgearch/intake/Intake.kt
+++ b/src/main/kotlin/ledgearch/intake/Intake.kt
@@ -9,6 +9,7 @@
 import ledgearch.core.JobRecord
 import ledgearch.core.Keys
 import ledgearch.core.Now
+import ledgearch.core.decodeRecord
 import ledgearch.http.Request
 import ledgearch.http.Response
 import ledgearch.state.Lane
@@ -18,8 +19,8 @@
 import ledgearch.wire.Change
 import ledgearch.wire.Condition
 import ledgearch.wire.ErrorBody
+import ledgearch.wire.KeyValue
 import ledgearch.wire.WireJson
-import ledgearch.wire.WorkRequest
 import ledgearch.wire.WorkStates
 import ledgearch.wire.WorkStatus
 
@@ -32,9 +33,9 @@
 }
 
 /**
- * The users' side, on every node. Submissions go to the state service in batches; a poll for an unfinished job is
- * answered only after a transaction that compares the stamps of all polled jobs at once has confirmed that what
- * this node knows is not older than what any node has told.
+ * The users' side, on every node. One rule holds for every answer: all it rests on was read from the state service after
+ * the question came, or is final. Submissions go there in batches; a poll for an unfinished job is answered only after
+ * a transaction that compares the stamps of all polled jobs at once has confirmed what this node knows.
  */
 internal class Intake(
     private val settings: Settings,
@@ -43,9 +44,26 @@
     private val grant: GrantView,
     private val now: Now,
 ) {
-    private class Submission(val record: JobRecord, val since: Long, val respond: MutableList<(Response) -> Unit>)
+    private class Submission(val record: JobRecord, val since: Long) {
+        /** Those who asked before the transaction was first sent: its answer is theirs. */
+        val first = ArrayList<(Response) -> Unit>()
 
-    private class Poll(val id: String, val since: Long, val respond: (Response) -> Unit)
+        /** Those who asked later: it may have been carried out, and more told of the job, before they did. */
+        val late = ArrayList<(Response) -> Unit>()
+        var sent = false
+
+        fun answer(response: Response) {
+            first.forEach { it(response) }
+            late.forEach { it(response) }
+            first.clear()
+            late.clear()
+        }
+    }
+
+    private class Poll(val id: String, val since: Long, val respond: (Response) -> Unit) {
+        /** What is being compared is that the job is open, not that nobody submitted it. */
+        var asOpen = false
+    }
 
     private class Withdrawal(val since: Long, val respond: (Response) -> Unit)
 
@@ -54,13 +72,16 @@
     private val submissions = LinkedHashMap<String, Submission>()
     private var submitting = false
     private var submitRetryAt = 0L
+
+    /** A grant of this node that was found to be gone. */
+    private var lostGrant = 0L
     private val polls = ArrayDeque<Poll>()
     private var confirming = false
     private var confirmRetryAt = 0L
     private val withdrawals = HashMap<String, MutableList<Withdrawal>>()
     /** Jobs whose cancellation is being written, and when it may be written again. */
     private val marking = HashMap<String, Long>()
-    private var resolving = 0
+    private var reading = 0
 
     fun handle(request: Request, respond: (Response) -> Unit) {
         val parts = request.path.split('/')
@@ -74,27 +95,34 @@
     }
 
     private fun submit(body: String, respond: (Response) -> Unit) {
-        val spec = try {
-            Validation.parse(body)
+        val submitted = try {
+            Submitted.read(body)
         } catch (e: Malformed) {
-            respond(error(400, e.message.orEmpty()))
-            return
+            return respond(error(400, e.message.orEmpty()))
         }
-        val id = spec.ref
+        val id = submitted.id
         book.final(id)?.let { return respond(finalAnswer(id, it)) }
         if (book.jobs.containsKey(id)) return poll(id, respond)
+        val spec = try {
+            submitted.request()
+        } catch (e: Malformed) {
+            return refuse(id, 400, e.message.orEmpty(), respond)
+        }
+        val record = JobRecord(spec, now.wall)
+        if (bytes(record.copy(cancel = true)) > valueLimit) return refuse(id, 400, "too large", respond)
         submissions[id]?.let {
-            it.respond.add(respond)
+            (if (it.sent) it.late else it.first).add(respond)
             return
         }
-        val record = JobRecord(spec, now.wall)
-        if (WireJson.encodeToString(JobRecord.serializer(), record).length > valueLimit) return respond(error(400, "too large"))
         if (book.racks.isEmpty() || submissions.size >= Tuning.INTAKE_BACKLOG) return respond(busy())
-        Validation.impossible(spec, teams[spec.crew], book.racks.values)?.let { why ->
-            // A job accepted earlier stays accepted, whatever the catalog says now.
-            return resolve(id, respond) { respond(error(422, why)) }
-        }
-        submissions[id] = Submission(record, now.steady, mutableListOf(respond))
+        Validation.impossible(spec, teams[spec.crew], book.racks.values)?.let { return refuse(id, 422, it, respond) }
+        submissions[id] = Submission(record, now.steady).apply { first.add(respond) }
+    }
+
+    /** A job accepted earlier stays accepted, whatever its body or the catalog says now: only one never accepted is refused. */
+    private fun refuse(id: String, status: Int, why: String, respond: (Response) -> Unit) {
+        val underWay = submissions[id]
+        if (underWay != null) underWay.late.add(respond) else resolve(id, respond) { respond(error(status, why)) }
     }
 
     private fun poll(id: String, respond: (Response) -> Unit) {
@@ -107,11 +135,25 @@
     private fun withdraw(id: String, respond: (Response) -> Unit) {
         if (!Validation.isJobId(id)) return respond(error(404, "no such job"))
         book.final(id)?.let { return respond(finalAnswer(id, it)) }
-        if (!book.jobs.containsKey(id)) {
-            resolve(id, respond) { respond(error(404, "no such job")) }
+        val since = now.steady
+        fun await() = withdrawals.getOrPut(id) { ArrayList() }.add(Withdrawal(since, respond))
+        if (book.jobs.containsKey(id)) {
+            await()
             return
         }
-        withdrawals.getOrPut(id) { ArrayList() }.add(Withdrawal(now.steady, respond))
+        // Accepted at another node a moment ago, perhaps: only an end is an answer to a withdrawal.
+        read(id, respond, unknown = { respond(error(404, "no such job")) }) { open ->
+            val final = book.final(id)
+            val record = decodeRecord(JobRecord.serializer(), open.v)
+            when {
+                final != null -> respond(finalAnswer(id, final))
+                record == null -> respond(busy())
+                else -> {
+                    await()
+                    if (!record.cancel) mark(record, open.stamp)
+                }
+            }
+        }
     }
 
     /** The job is over: whoever waits for that is told. */
@@ -126,7 +168,7 @@
         expire()
         flushSubmissions()
         flushPolls()
-        for (id in withdrawals.keys) book.jobs[id]?.let { if (!it.record.cancel) mark(it) }
+        for (id in withdrawals.keys) book.jobs[id]?.let { if (!it.record.cancel) mark(it.record, it.stamp) }
     }
 
     private fun expire() {
@@ -135,7 +177,7 @@
             val s = late.next()
             if (now.steady - s.since < Tuning.SUBMIT_MS) continue
             late.remove()
-            s.respond.forEach { it(busy()) }
+            s.answer(busy())
         }
         while (polls.isNotEmpty() && now.steady - polls.first().since >= Tuning.POLL_MS) polls.removeFirst().respond(busy())
         val waiting = withdrawals.values.iterator()
@@ -144,6 +186,10 @@
             list.removeAll { w -> (now.steady - w.since >= Tuning.WITHDRAW_MS).also { if (it) w.respond(busy()) } }
             if (list.isEmpty()) waiting.remove()
         }
+        // The wish is durable already; the end can't be seen by this node now.
+        if (state.refuses) withdrawals.entries.removeAll { (id, list) ->
+            (book.jobs[id]?.record?.cancel == true).also { if (it) list.forEach { w -> w.respond(busy()) } }
+        }
     }
 
     private fun flushSubmissions() {
@@ -151,16 +197,17 @@
         val batch = ArrayList<Submission>()
         val conditions = ArrayList<Condition>()
         val changes = ArrayList<Change>()
-        val underGrant = grant.holding
         val grantCondition = grant.condition
+        val underGrant = grant.holding && grantCondition.stamp != lostGrant
         if (underGrant) conditions.add(grantCondition)
         var bytes = 0
         for (s in submissions.values) {
             val value = WireJson.encodeToJsonElement(JobRecord.serializer(), s.record)
-            bytes += value.toString().length * 2
+            bytes += value.toString().encodeToByteArray().size * 2
             if (batch.isNotEmpty() && (batch.size >= state.maxChanges || bytes > Tuning.TXN_BYTES)) break
             val id = s.record.spec.ref
             batch.add(s)
+            s.sent = true
             conditions.add(Condition(Keys.job(id), 0))
             conditions.add(Condition(Keys.final(id), 0))
             changes.add(Change(put = Keys.job(id), v = value))
@@ -176,20 +223,25 @@
                         val id = s.record.spec.ref
                         submissions.remove(id, s)
                         if (underGrant && grant.holding) book.acceptUnderGrant(s.record, result.edition)
-                        s.respond.forEach { it(status(201, WorkStatus(id, WorkStates.PENDING))) }
+                        s.first.forEach { it(status(201, WorkStatus(id, WorkStates.PENDING))) }
+                        s.late.forEach { poll(id, it) }
                     }
                 }
-                is TxnResult.Conflict -> for (s in batch) {
-                    val id = s.record.spec.ref
-                    if (Keys.job(id) in result.failed || Keys.final(id) in result.failed) {
-                        submissions.remove(id, s)
-                        s.respond.forEach { r -> resolve(id, r) { r(busy()) } }
+                is TxnResult.Conflict -> {
+                    // Another holds the block and this node has yet to hear of it: submissions don't wait for that.
+                    if (grantCondition.key in result.failed) lostGrant = grantCondition.stamp
+                    for (s in batch) {
+                        val id = s.record.spec.ref
+                        if (Keys.job(id) in result.failed || Keys.final(id) in result.failed) {
+                            submissions.remove(id, s)
+                            for (r in s.first + s.late) resolve(id, r) { r(busy()) }
+                        }
                     }
                 }
                 // Not taken: the users are told at once, and when to come back.
                 TxnResult.Refused, TxnResult.NoLease -> for (s in batch) {
                     submissions.remove(s.record.spec.ref, s)
-                    s.respond.forEach { it(busy()) }
+                    s.answer(busy())
                 }
                 // A repeat is harmless: if the first was executed, the condition fails and the job is found.
                 TxnResult.Unknown -> submitRetryAt = now.steady + Tuning.STATE_RETRY_MS
@@ -205,6 +257,7 @@
             val p = polls.removeFirst()
             batch.add(p)
             val job = book.jobs[p.id]
+            p.asOpen = job != null
             conditions[Keys.job(p.id)] = job?.stamp ?: 0
             if (job == null) conditions[Keys.final(p.id)] = 0
         }
@@ -213,7 +266,7 @@
             confirming = false
             when (result) {
                 is TxnResult.Ok -> batch.forEach { answer(it) }
-                is TxnResult.Conflict -> for (p in batch) {
+                is TxnResult.Conflict -> for (p in batch.asReversed()) {
                     if (Keys.job(p.id) in result.failed || Keys.final(p.id) in result.failed) {
                         resolve(p.id, p.respond) { p.respond(error(404, "no such job")) }
                     } else {
@@ -231,55 +284,80 @@
 
     /** [p]'s job was open at the stamp known here, or unknown to the state service. */
     private fun answer(p: Poll) {
-        book.final(p.id)?.let { return p.respond(finalAnswer(p.id, it)) }
-        val job = book.jobs[p.id] ?: return p.respond(error(404, "no such job"))
-        p.respond(status(200, openStatus(job)))
+        val final = book.final(p.id)
+        val job = book.jobs[p.id]
+        when {
+            final != null -> p.respond(finalAnswer(p.id, final))
+            job != null -> p.respond(status(200, openStatus(job)))
+            // It ended since, and how is not remembered here.
+            p.asOpen -> resolve(p.id, p.respond) { p.respond(busy()) }
+            else -> p.respond(error(404, "no such job"))
+        }
+    }
+
+    /** Reads the job itself and answers with its state. */
+    private fun resolve(id: String, respond: (Response) -> Unit, unknown: () -> Unit) = read(id, respond, unknown) {
+        val final = book.final(id)
+        val known = book.jobs[id]
+        respond(if (final != null) finalAnswer(id, final) else status(200, if (known != null) openStatus(known) else WorkStatus(id, WorkStates.PENDING)))
+    }
+
+    /**
+     * Reads the open record first, then the final one, since a job moves only that way: where both are absent it had not
+     * been accepted at the first reading. A final record is the answer, and so is a state service that gives none.
+     */
+    private fun read(id: String, respond: (Response) -> Unit, unknown: () -> Unit, open: (KeyValue) -> Unit) {
+        if (reading >= Tuning.INTAKE_BACKLOG) return respond(busy())
+        reading++
+        state.get(Keys.job(id), Lane.ORDINARY) { first ->
+            reading--
+            when (first) {
+                is ReadResult.Found -> open(first.value)
+                ReadResult.Absent -> readFinal(id, { respond(busy()) }, unknown) { respond(finalAnswer(id, it)) }
+                ReadResult.Failed -> respond(busy())
+            }
+        }
     }
 
-    /** Reads the job itself: the open record first, then the final one, since a job moves only that way. */
-    private fun resolve(id: String, respond: (Response) -> Unit, unknown: () -> Unit) {
-        if (resolving >= Tuning.INTAKE_BACKLOG) return respond(busy())
-        resolving++
-        state.get(Keys.job(id), Lane.ORDINARY) { open ->
-            when (open) {
+    private fun readFinal(id: String, failed: () -> Unit, absent: () -> Unit, found: (FinalRecord) -> Unit) {
+        reading++
+        state.get(Keys.final(id), Lane.ORDINARY) { read ->
+            reading--
+            when (read) {
                 is ReadResult.Found -> {
-                    resolving--
-                    val known = book.jobs[id]
-                    respond(status(200, if (known != null) openStatus(known) else WorkStatus(id, WorkStates.PENDING)))
-                }
-                ReadResult.Absent -> state.get(Keys.final(id), Lane.ORDINARY) { final ->
-                    resolving--
-                    when (final) {
-                        is ReadResult.Found -> {
-                            val record = final.value.v?.let { WireJson.decodeFromJsonElement(FinalRecord.serializer(), it) }
-                            if (record == null) {
-                                respond(busy())
-                            } else {
-                                book.rememberFinal(id, record)
-                                respond(finalAnswer(id, record))
-                            }
-                        }
-                        ReadResult.Absent -> unknown()
-                        ReadResult.Failed -> respond(busy())
+                    val record = decodeRecord(FinalRecord.serializer(), read.value.v)
+                    if (record != null) {
+                        book.rememberFinal(id, record)
+                        found(record)
+                    } else {
+                        failed()
                     }
                 }
-                ReadResult.Failed -> {
-                    resolving--
-                    respond(busy())
-                }
+                ReadResult.Absent -> absent()
+                ReadResult.Failed -> failed()
             }
         }
     }
 
     /** Makes the user's wish durable; the block's holder carries it out and then closes the job. */
-    private fun mark(job: Job) {
-        if (now.steady < (marking[job.id] ?: Long.MIN_VALUE)) return
-        marking[job.id] = now.steady + Tuning.STATE_MS
-        val value = WireJson.encodeToJsonElement(JobRecord.serializer(), job.record.copy(cancel = true))
-        state.txn(listOf(Condition(Keys.job(job.id), job.stamp)), listOf(Change(put = Keys.job(job.id), v = value)), Lane.ORDINARY) { result ->
-            // Once written, the watch brings the mark; if it was refused, it is tried again when a user asks again.
-            marking[job.id] = now.steady + Tuning.STATE_RETRY_MS
-            if (result == TxnResult.Refused) withdrawals.remove(job.id)?.forEach { it.respond(busy()) }
+    private fun mark(record: JobRecord, stamp: Long) {
+        val id = record.spec.ref
+        if (now.steady < (marking[id] ?: Long.MIN_VALUE)) return
+        marking[id] = now.steady + Tuning.STATE_MS
+        val value = WireJson.encodeToJsonElement(JobRecord.serializer(), record.copy(cancel = true))
+        state.txn(listOf(Condition(Keys.job(id), stamp)), listOf(Change(put = Keys.job(id), v = value)), Lane.ORDINARY) { result ->
+            // Once written, the watch brings the mark.
+            marking[id] = now.steady + Tuning.STATE_RETRY_MS
+            when (result) {
+                // It is tried again when a user asks again.
+                TxnResult.Refused -> {
+                    marking.remove(id)
+                    withdrawals.remove(id)?.forEach { it.respond(busy()) }
+                }
+                // Over, or marked by another node, and this node's book is behind.
+                is TxnResult.Conflict -> readFinal(id, {}, {}) {}
+                else -> Unit
+            }
         }
     }
 
@@ -292,6 +370,8 @@
     private fun finalAnswer(id: String, record: FinalRecord) =
         status(200, WorkStatus(id, record.st, if (record.st == WorkStates.DONE) record.n else 0, 0))
 
+    private fun bytes(record: JobRecord) = WireJson.encodeToString(JobRecord.serializer(), record).encodeToByteArray().size
+
     private fun status(code: Int, body: WorkStatus) = Response(code, WireJson.encodeToString(WorkStatus.serializer(), body))
 
     private fun busy() = Response(503, BUSY, settings.operator.retryAfterS)
--- /dev/null
+++ b/src/main/kotlin/ledgearch/intake/Submitted.kt
@@ -0,0 +1,134 @@
+package ledgearch.intake
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.doubleOrNull
+import kotlinx.serialization.json.longOrNull
+import ledgearch.Tuning
+import ledgearch.wire.Shapes
+import ledgearch.wire.Urgencies
+import ledgearch.wire.WireJson
+import ledgearch.wire.WorkRequest
+
+/** A submission that is malformed; answered with 400. */
+internal class Malformed(message: String) : Exception(message, null, false, false)
+
+/** What was submitted: an object that names a job, the rest of it not yet looked at. */
+internal class Submitted private constructor(val id: String, private val json: JsonObject) {
+    /** Read field by field, so that every wrong type is told by name. Only what may be null may be left out. */
+    fun request(): WorkRequest {
+        val request = WorkRequest(
+            ref = id,
+            menu = text("menu"),
+            crew = text("crew"),
+            shape = text("shape"),
+            urgency = text("urgency"),
+            portions = count("portions", 1, MAX_TASKS),
+            vcpus = amount("vcpus"),
+            accelerators = amount("accelerators"),
+            memoryGb = amount("memoryGb"),
+            racks = textsOrNull("racks"),
+            hall = textOrNull("hall"),
+            samePlace = flag("samePlace"),
+            apart = flag("apart"),
+            borrowed = flag("borrowed"),
+            recipe = text("recipe"),
+            sizeGb = amount("sizeGb"),
+            cookS = amount("cookS"),
+            stirS = amount("stirS"),
+            plateS = amount("plateS"),
+            serveS = amountOrNull("serveS"),
+        )
+        if (request.shape !in Shapes.ALL) throw Malformed("shape: must be one of ${Shapes.ALL}")
+        if (request.urgency !in Urgencies.ORDER) throw Malformed("urgency: must be one of ${Urgencies.ORDER}")
+        if (request.vcpus <= 0 && request.accelerators <= 0 && request.memoryGb <= 0) throw Malformed("vcpus: a task must take something")
+        return request
+    }
+
+    private fun value(name: String): JsonElement? = json[name]?.takeIf { it !is JsonNull }
+
+    private fun missing(name: String): Nothing = throw Malformed("$name: missing")
+
+    private fun text(name: String) = textOrNull(name) ?: missing(name)
+
+    private fun textOrNull(name: String): String? = value(name)?.let { string(name, it) }
+
+    private fun textsOrNull(name: String): List<String>? {
+        val array = value(name) ?: return null
+        return (array as? JsonArray ?: throw Malformed("$name: must be an array")).map { string(name, it) }
+    }
+
+    private fun string(name: String, element: JsonElement): String {
+        val p = element as? JsonPrimitive
+        if (p == null || !p.isString || p.content.isEmpty()) throw Malformed("$name: must be a string")
+        return p.content
+    }
+
+    private fun flag(name: String): Boolean {
+        val v = value(name) ?: missing(name)
+        return (v as? JsonPrimitive)?.takeIf { !it.isString }?.booleanOrNull ?: throw Malformed("$name: must be true or false")
+    }
+
+    private fun count(name: String, least: Int, most: Int): Int {
+        val n = (number(name) ?: missing(name)).longOrNull ?: throw Malformed("$name: must be an integer")
+        if (n < least || n > most) throw Malformed("$name: must be from $least to $most")
+        return n.toInt()
+    }
+
+    private fun amount(name: String) = amountOrNull(name) ?: missing(name)
+
+    private fun amountOrNull(name: String): Double? {
+        val d = (number(name) ?: return null).doubleOrNull
+        if (d == null || !(d >= 0 && d <= MAX_AMOUNT)) throw Malformed("$name: must be a number that is not negative")
+        return d
+    }
+
+    private fun number(name: String): JsonPrimitive? {
+        val p = (value(name) ?: return null) as? JsonPrimitive
+        if (p == null || p.isString || !NUMBER.matches(p.content)) throw Malformed("$name: must be a number")
+        return p
+    }
+
+    companion object {
+        private const val MAX_TASKS = 100_000
+        private const val MAX_AMOUNT = 1e9
+
+        /** As JSON has it; the parser alone would let `1f` or `NaN` through. */
+        private val NUMBER = Regex("-?(0|[1-9][0-9]*)(\\.[0-9]+)?([eE][+-]?[0-9]+)?")
+
+        fun read(body: String): Submitted {
+            if (depth(body) > Tuning.SUBMISSION_DEPTH) throw Malformed("too deep")
+            val json = try {
+                WireJson.parseToJsonElement(body) as? JsonObject ?: throw Malformed("not an object")
+            } catch (_: SerializationException) {
+                throw Malformed("not JSON")
+            }
+            val id = (json["ref"] as? JsonPrimitive)?.takeIf { it.isString }?.content ?: throw Malformed("ref: missing")
+            if (!Validation.isJobId(id)) throw Malformed("ref: not a job id")
+            return Submitted(id, json)
+        }
+
+        /** How deep brackets outside strings nest. */
+        private fun depth(body: String): Int {
+            var depth = 0
+            var deepest = 0
+            var quoted = false
+            var i = 0
+            while (i < body.length) {
+                when (body[i]) {
+                    '"' -> quoted = !quoted
+                    '\\' -> if (quoted) i++
+                    '[', '{' -> if (!quoted) deepest = maxOf(deepest, ++depth)
+                    ']', '}' -> if (!quoted) depth--
+                }
+                i++
+            }
+            return deepest
+        }
+    }
+}
--- a/src/main/kotlin/ledgearch/state/StateClient.kt
+++ b/src/main/kotlin/ledgearch/state/StateClient.kt
@@ -76,6 +76,10 @@
     var lastAnswer = Long.MIN_VALUE / 2
         private set
 
+    /** Its last word was that it refuses this node. */
+    var refuses = false
+        private set
+
     init {
         share(holder = false)
     }
@@ -162,7 +166,11 @@
                 writes.take(next.writes)
                 transport.call(address, next.method, next.target, next.body, next.timeoutMs) { reply ->
                     when (reply.status) {
-                        200, 400, 404, 409, 410 -> lastAnswer = now.steady
+                        200, 400, 404, 409, 410 -> {
+                            lastAnswer = now.steady
+                            refuses = false
+                        }
+                        503 -> refuses = true
                         429 -> pausedUntil = now.steady + Tuning.STATE_RETRY_MS
                     }
                     next.done(reply)
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -1,5 +1,6 @@
 package ledgearch.world
 
+import kotlinx.serialization.json.JsonObject
 import ledgearch.Tuning
 import ledgearch.config.OperatorSettings
 import ledgearch.wire.WorkRequest
@@ -145,6 +146,15 @@
             "holder" -> holder(world).let { check("holder ${w[2]}", it, if (w[2] == "any") it != "none" else if (w[2].startsWith("not-")) it != "none" && "not-$it" != w[2] else it == w[2]) }
             "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "up" -> world.ask("GET", "/up", null, w[2]) { check("up ${w[2]} ${w[3]}", it.status, it.status == w[3].toInt()) }
+            // submission NODE STATUS JOB ...: as of `submit`; `without=FIELD` leaves one out, `FIELD:JSON` sets one.
+            "submission" -> world.clock.now.let { asked ->
+                if (w[3] == "201") world.rules.submitted[w[4]] = spec(w.drop(4).filter { ':' !in it })
+                world.ask("POST", "/work", body(w.drop(4)), w[2]) {
+                    world.rules.submitAnswered(w[4], it.status)
+                    check("answer of ${w[2]} to ${w.drop(4)}", it.status, it.status == w[3].toInt())
+                    (world.clock.now - asked).let { took -> check("answered at once", "$took ms", took <= AT_ONCE_MS) }
+                }
+            }
             "everyone-known" -> world.rules.everyoneAccepted.forEach { job -> expectAnswer(world, job, world.clock.now + FORGOTTEN_MS) { check("everyone known", "no answer for $job", false) } }
             "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
             "at-once" -> world.clock.now.let { asked ->
@@ -177,6 +187,13 @@
         }
     }
 
+    private fun body(words: List<String>): String {
+        val spec = World.SUBMISSION.encodeToJsonElement(WorkRequest.serializer(), spec(words.filter { ':' !in it })) as JsonObject
+        val without = words.filter { it.startsWith("without=") }.map { it.substringAfter('=') }
+        val set = words.filter { ':' in it }.joinToString("") { ",\"${it.substringBefore(':')}\":${it.substringAfter(':')}" }
+        return JsonObject(spec - without.toSet()).toString().dropLast(1) + set + "}"
+    }
+
     private fun spec(words: List<String>): WorkRequest {
         val o = words.drop(1).associate { it.substringBefore('=') to it.substringAfter('=') }
         return WorkRequest(
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -22,6 +22,7 @@
 import ledgearch.wire.WireJson
 import ledgearch.wire.WorkRequest
 import ledgearch.wire.WorkStatus
+import kotlinx.serialization.json.Json
 import kotlin.random.Random
 
 /** Controllers, stand-ins of everything around them and a network between, all on one simulated clock. */
@@ -254,7 +255,7 @@
         rules.submitted[spec.ref] = spec
         val until = clock.now + 60_000
         fun attempt() {
-            ask("POST", "/work", WireJson.encodeToString(WorkRequest.serializer(), spec)) { reply ->
+            ask("POST", "/work", SUBMISSION.encodeToString(WorkRequest.serializer(), spec)) { reply ->
                 rules.submitAnswered(spec.ref, reply.status)
                 if (reply.status != 200 && reply.status != 201 && reply.status != 400 && reply.status != 422 && clock.now < until) clock.after(1000) { attempt() }
             }
@@ -297,6 +298,9 @@
 
     companion object {
         private const val MAX_BODY = 64 * 1024
+
+        /** Users leave out only what may be null. */
+        val SUBMISSION = Json(WireJson) { encodeDefaults = true }
         const val TEAM_MAX = 24.0
         const val CANCEL_MS = 39_000L
         private const val WALL = 1_700_000_000_000L
