--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -208,8 +208,10 @@
             }
             "everyone-known" -> world.rules.everyoneAccepted.forEach { job -> expectAnswer(world, job, world.clock.now + FORGOTTEN_MS) { check("everyone known", "no answer for $job", false) } }
             "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
+            // at-once METHOD TARGET STATUS [BODY] [at=NODE]
             "at-once" -> world.clock.now.let { asked ->
-                world.ask(w[2], w[3], w.getOrNull(5), null) {
+                val (node, body) = w.drop(5).partition { it.startsWith("at=") }
+                world.ask(w[2], w[3], body.firstOrNull(), node.firstOrNull()?.substringAfter('=')) {
                     check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt())
                     (world.clock.now - asked).let { took -> check("answered at once", "$took ms", took <= AT_ONCE_MS) }
                 }
