--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -133,8 +133,10 @@
             "state-slow" -> world.state.slowMs = w[1].toLong()
             // compare-slow MS: those that only compare are.
             "compare-slow" -> world.state.slowCompareMs = w[1].toLong()
-            // finals COUNT: so many jobs that nobody asks about have ended.
-            "finals" -> world.state.writeAll((1..w[1].toInt()).map { "w/d/job-9${world.clock.now}$it" }, """{"st":"done","n":1}""")
+            // finals COUNT TIMES: so many jobs that nobody asks about have ended, and again every tenth of a second.
+            "finals" -> repeat(w[2].toInt()) { i ->
+                world.clock.after(i * 100L) { world.state.writeAll((1..w[1].toInt()).map { "w/d/job-9${world.clock.now}$it" }, """{"st":"done","n":1}""") }
+            }
             "cloud-down" -> world.cloud.down = true
             "cloud-up" -> world.cloud.down = false
             "never-boots" -> world.cloud.bootsNever = w[1].toInt()
