--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -54,7 +54,7 @@
         fun named(i: Int) = if (w[i] == "holder") holder(world) else w[i]
         when (w[0]) {
             // submit JOB WORDS: with at=NODE, at that controller.
-            "submit" -> world.users.submit(spec(w.drop(1)), w.firstOrNull { it.startsWith("at=") }?.substringAfter('='))
+            "submit" -> world.users.submit(spec(w.drop(1)), w.firstOrNull { it.startsWith("at=") }?.substringAfter('=')?.let { if (it == "holder") holder(world) else it })
             // submit-many COUNT EVERY-MS ...: jobs numbered from 1000.
             "submit-many" -> repeat(w[1].toInt()) { i ->
                 world.clock.after(i * w[2].toLong()) { world.submit(spec(listOf("job-${FIRST_OF_MANY + i}") + w.drop(3))) }
@@ -133,9 +133,9 @@
             "state-slow" -> world.state.slowMs = w[1].toLong()
             // compare-slow MS: those that only compare are.
             "compare-slow" -> world.state.slowCompareMs = w[1].toLong()
-            // finals COUNT TIMES: so many jobs that nobody asks about have ended, and again every tenth of a second.
-            "finals" -> repeat(w[2].toInt()) { i ->
-                world.clock.after(i * 100L) { world.state.writeAll((1..w[1].toInt()).map { "w/d/job-9${world.clock.now}$it" }, """{"st":"done","n":1}""") }
+            // finals COUNT EVERY-MS TIMES: so many jobs that nobody asks about have ended, and again.
+            "finals" -> repeat(w[3].toInt()) { i ->
+                world.clock.after(i * w[2].toLong()) { world.state.writeAll((1..w[1].toInt()).map { "w/d/job-9${world.clock.now}$it" }, """{"st":"done","n":1}""") }
             }
             "cloud-down" -> world.cloud.down = true
             "cloud-up" -> world.cloud.down = false
