--- a/src/test/kotlin/ledgearch/world/Rules.kt
+++ b/src/test/kotlin/ledgearch/world/Rules.kt
@@ -36,6 +36,8 @@
 
     fun isAccepted(job: String) = job in accepted
 
+    fun runsWhole(job: String) = submitted.getValue(job).let { it.shape == "standing" && job !in cancelAsked && world.running(job) == it.portions }
+
     fun isCancelled(job: String) = job in cancelAsked
 
     val everyoneAccepted: Set<String> get() = accepted
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -9,7 +9,7 @@
  * A scenario in a text file. A line is a time in seconds, a step and its words; `#` begins a comment. Steps of the
  * world change it; `expect` steps must hold at their time. The rules are checked throughout.
  */
-internal class Scenario(text: String) {
+internal class Scenario(text: String, private val seed: Long? = null) {
     private class Step(val line: Int, val at: Long, val words: List<String>)
 
     private val steps = ArrayList<Step>()
@@ -29,7 +29,7 @@
     /** What went wrong; empty when all is well. */
     fun play(): List<String> {
         val world = World(
-            options["nodes"]?.toInt() ?: 1, options["seed"]?.toLong() ?: 1, operator(), options["team-max"]?.toDouble() ?: World.TEAM_MAX,
+            options["nodes"]?.toInt() ?: 1, seed ?: options["seed"]?.toLong() ?: 1, operator(), options["team-max"]?.toDouble() ?: World.TEAM_MAX,
             options["report-ms"]?.toLong() ?: 3000L, options["cpu"]?.toDouble() ?: 1.0,
             StateLimits(options["rps"]?.toDouble() ?: 200.0, options["write-rps"]?.toDouble() ?: 60.0, 8.0, 16),
             options["lease-ms"]?.toLong() ?: 14_000L,
@@ -193,6 +193,10 @@
             "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "up" -> world.ask("GET", "/up", null, w[2]) { check("up ${w[2]} ${w[3]}", it.status, it.status == w[3].toInt()) }
             "everyone-known" -> world.rules.everyoneAccepted.forEach { job -> expectAnswer(world, job, world.clock.now + FORGOTTEN_MS) { check("everyone known", "no answer for $job", false) } }
+            // Every accepted job is done, or its replicas all run; where a user asked for its end, it may be withdrawn.
+            "everyone-served" -> world.rules.everyoneAccepted.forEach { job ->
+                expectServed(world, job, TRIES) { check("everyone served", "$job: $it", false) }
+            }
             "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
             "at-once" -> world.clock.now.let { asked ->
                 world.ask(w[2], w[3], w.getOrNull(5), null) {
@@ -212,6 +216,13 @@
         }
     }
 
+    private fun expectServed(world: World, job: String, tries: Int, wrong: (String) -> Unit) {
+        world.poll(job) { status, state ->
+            val isServed = state == "done" || (state == "withdrawn" && world.rules.isCancelled(job)) || world.rules.runsWhole(job)
+            if (status != 200 && status != 404 && tries > 1) expectServed(world, job, tries - 1, wrong) else if (!isServed) wrong("$status $state")
+        }
+    }
+
     /** A poll that gets no answer is repeated, as users do. */
     private fun expectState(world: World, job: String, wanted: String, tries: Int, wrong: (String) -> Unit) {
         world.poll(job) { status, state ->
