In an outage of the state service the nodes stay up for users, told so by the holder

Cause: GET /up fails 4 s into an outage at every node, so the load balancer has nobody, and after it takes each node back late (from 3 s, doubled for each removal within two minutes) and slowly. The holder now tells the others every second whether the state service answers it; while it does not, they stay up and answer 503 with Retry-After, or final states from memory. A node that is refused alone still steps aside.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -142,6 +142,12 @@
     /** ms. A node that has not heard from the state service for this long is not healthy while others may be. */
     const val STATE_SILENT_MS = 4_000L
 
+    /** ms. A holder that has not heard from the state service for this long says so: sooner than others step aside. */
+    const val HOLDER_UNSERVED_MS = 2_500L
+
+    /** ms. Such word counts this long: the holder speaks every second, and may be late. */
+    const val OUTAGE_HEARD_MS = 3_000L
+
     // --- Mesh -------------------------------------------------------------------------------------------------
     /** Connections. Other controllers that may follow this one; a deployment has a handful. */
     const val MAX_FOLLOWERS = 16
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -18,9 +18,9 @@
 import ledgearch.http.Request
 import ledgearch.http.Response
 import ledgearch.intake.Intake
+import ledgearch.mesh.HolderNews
 import ledgearch.mesh.MeshEvents
 import ledgearch.mesh.MeshLinks
-import ledgearch.mesh.Progress
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.nio.channels.AsynchronousChannelGroup
@@ -91,7 +91,7 @@
     private val tooBusy = Intake.error(503, "too many requests").copy(retryAfterS = settings.operator.retryAfterS)
 
     private inner class OwnerEvents : MeshEvents {
-        override suspend fun news(progress: List<Progress>) = queue.put(Command.News(progress))
+        override suspend fun news(news: HolderNews) = queue.put(Command.News(news))
 
         override suspend fun refused(address: String) = queue.put(Command.PeerRefused(address))
     }
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -10,6 +10,7 @@
 import ledgearch.intake.Intake
 import ledgearch.leader.Election
 import ledgearch.leader.ElectionListener
+import ledgearch.mesh.HolderNews
 import ledgearch.mesh.Mesh
 import ledgearch.mesh.Progress
 import ledgearch.state.StateClient
@@ -26,7 +27,7 @@
     class Serve(val request: Request, val respond: (Response) -> Unit) : Command
 
     /** The holder tells how its jobs go. */
-    class News(val progress: List<Progress>) : Command
+    class News(val news: HolderNews) : Command
 
     /** The controller at this mesh address refuses connections after one of its own ended. */
     class PeerRefused(val address: String) : Command
@@ -61,6 +62,9 @@
     private var publishAt = 0L
     private var publishedTo = 0
 
+    /** When the holder last told that the state service does not answer it either (steady ms). */
+    private var holderUnservedAt = Long.MIN_VALUE / 2
+
     init {
         journal.onClosed = { job, record -> book.rememberFinal(job.id, record) }
     }
@@ -74,7 +78,7 @@
             when (command) {
                 is Command.Serve -> metrics.spend(if (command.request.path == "/checkin") "reports" else "requests") { serve(command.request, command.respond) }
                 is Command.Answered -> metrics.spend("answers") { command.done(command.reply) }
-                is Command.News -> command.progress.forEach { book.jobs[it.job]?.shown = it }
+                is Command.News -> heard(command.news)
                 is Command.PeerRefused -> members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
                 Command.Tick -> own.ticked()
             }
@@ -110,7 +114,12 @@
             if (!all && p == job.shown) null else p.also { job.shown = it }
         }
         // Empty frames too: they show that this node lives.
-        mesh.publish(news)
+        mesh.publish(HolderNews(news, served = now.steady - state.lastAnswer < Tuning.HOLDER_UNSERVED_MS))
+    }
+
+    private fun heard(news: HolderNews) {
+        news.progress.forEach { book.jobs[it.job]?.shown = it }
+        if (news.served == false) holderUnservedAt = now.steady
     }
 
     private fun serve(request: Request, respond: (Response) -> Unit) {
@@ -133,7 +142,13 @@
     private fun report() =
         metrics.report(node, election.token, book.jobs.size, holder.machines.size, holder.machines.values.sumOf { it.placements.size })
 
-    private fun healthy() = book.loaded && book.racks.isNotEmpty() && now.steady - state.lastAnswer < Tuning.STATE_SILENT_MS
+    /**
+     * Users are better served elsewhere while the state service refuses this node alone. In an outage nobody serves them
+     * better, and nodes that all stepped aside would be long in coming back: what is known for good is answered, and
+     * everyone else told at once when to come back.
+     */
+    private fun healthy() = book.loaded && book.racks.isNotEmpty() &&
+        (now.steady - state.lastAnswer < Tuning.STATE_SILENT_MS || now.steady - holderUnservedAt < Tuning.OUTAGE_HEARD_MS)
 
     private fun checkIn(body: String, respond: (Response) -> Unit) {
         if (!election.holding) return respond(elsewhere())
--- a/src/main/kotlin/ledgearch/mesh/Mesh.kt
+++ b/src/main/kotlin/ledgearch/mesh/Mesh.kt
@@ -5,8 +5,8 @@
     /** Keeps a connection to [address], or to nobody; news and its end come back as commands. */
     fun follow(address: String?)
 
-    /** Sends [progress] to all that follow this node. */
-    fun publish(progress: List<Progress>)
+    /** Sends [news] to all that follow this node. */
+    fun publish(news: HolderNews)
 
     /** How many follow this node; counts connections that were ever made, so that a newcomer is noticed. */
     val joined: Int
--- a/src/main/kotlin/ledgearch/mesh/MeshLinks.kt
+++ b/src/main/kotlin/ledgearch/mesh/MeshLinks.kt
@@ -26,7 +26,7 @@
 
 /** What the links tell the owner. */
 internal interface MeshEvents {
-    suspend fun news(progress: List<Progress>)
+    suspend fun news(news: HolderNews)
 
     /** The connection to [address] ended and new ones are refused: most likely its process has ended. */
     suspend fun refused(address: String)
@@ -72,9 +72,9 @@
         }
     }
 
-    override fun publish(progress: List<Progress>) {
+    override fun publish(news: HolderNews) {
         if (followers.isEmpty()) return
-        val frame = Frames.encode(progress)
+        val frame = Frames.encode(news)
         followers.forEach { it.trySend(frame) }
     }
 
--- /dev/null
+++ b/src/test/kotlin/ledgearch/FramesTest.kt
@@ -0,0 +1,48 @@
+package ledgearch
+
+import ledgearch.mesh.Frames
+import ledgearch.mesh.HolderNews
+import ledgearch.mesh.MalformedFrame
+import ledgearch.mesh.Progress
+import okio.Buffer
+import okio.ByteString.Companion.decodeHex
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+
+/** What controllers tell one another, also those of earlier versions. */
+internal class FramesTest {
+    private val progress = listOf(Progress("job-7", 3, 2))
+
+    private fun read(frame: okio.ByteString) = Frames.take(Buffer().write(frame))!!
+
+    @Test
+    fun `a frame tells what was put into it`() {
+        for (served in listOf(true, false, null)) {
+            val news = read(Frames.encode(HolderNews(progress, served)))
+            assertEquals(progress, news.progress)
+            assertEquals(served, news.served)
+        }
+    }
+
+    /** Written by the version before holders told whether the state service answers them: `job-7`, 3 done, 2 running. */
+    @Test
+    fun `an earlier version's frame is read`() {
+        val news = read("0000000e056a6f622d370000000300000002".decodeHex())
+        assertEquals(progress, news.progress)
+        assertNull(news.served)
+    }
+
+    /** To an earlier version what is new is one more job, with an empty id that nothing has. */
+    @Test
+    fun `what is new has the form of a job's entry`() {
+        assertEquals("00000009000000000000000000".decodeHex(), Frames.encode(HolderNews(emptyList(), served = false)))
+    }
+
+    @Test
+    fun `a frame that is not all there is waited for and a broken one refused`() {
+        assertNull(Frames.take(Buffer().write("0000000e056a".decodeHex())))
+        assertThrows(MalformedFrame::class.java) { read("00000003056a6f".decodeHex()) }
+    }
+}
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -17,8 +17,8 @@
 import ledgearch.http.Reply
 import ledgearch.http.Request
 import ledgearch.http.Response
+import ledgearch.mesh.HolderNews
 import ledgearch.mesh.Mesh
-import ledgearch.mesh.Progress
 import ledgearch.wire.WorkRequest
 import kotlin.random.Random
 
@@ -158,8 +158,8 @@
                 clock.after(300) { look(address) }
             }
 
-            override fun publish(progress: List<Progress>) {
-                for (node in nodes) if (node !== this@Node && node.up) deliver(name, node.name) { if (node.up) node.run(Command.News(progress)) }
+            override fun publish(news: HolderNews) {
+                for (node in nodes) if (node !== this@Node && node.up) deliver(name, node.name) { if (node.up) node.run(Command.News(news)) }
             }
         }
 
