--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -1,5 +1,6 @@
 package ledgearch.world
 
+import kotlinx.serialization.json.JsonObject
 import ledgearch.Tuning
 import ledgearch.config.OperatorSettings
 import ledgearch.config.StateLimits
@@ -52,7 +53,8 @@
         fun seconds(i: Int) = (w[i].toDouble() * 1000).toLong()
         fun named(i: Int) = if (w[i] == "holder") holder(world) else w[i]
         when (w[0]) {
-            "submit" -> world.submit(spec(w.drop(1)))
+            // submit JOB WORDS: with at=NODE, at that controller.
+            "submit" -> world.users.submit(spec(w.drop(1)), w.firstOrNull { it.startsWith("at=") }?.substringAfter('='))
             // submit-many COUNT EVERY-MS ...: jobs numbered from 1000.
             "submit-many" -> repeat(w[1].toInt()) { i ->
                 world.clock.after(i * w[2].toLong()) { world.submit(spec(listOf("job-${FIRST_OF_MANY + i}") + w.drop(3))) }
@@ -129,6 +131,12 @@
             "state-up" -> world.state.outage(false)
             // state-slow MS: transactions that write are carried out at once and answered so much later.
             "state-slow" -> world.state.slowMs = w[1].toLong()
+            // compare-slow MS: those that only compare are.
+            "compare-slow" -> world.state.slowCompareMs = w[1].toLong()
+            // finals COUNT TIMES: so many jobs that nobody asks about have ended, and again every tenth of a second.
+            "finals" -> repeat(w[2].toInt()) { i ->
+                world.clock.after(i * 100L) { world.state.writeAll((1..w[1].toInt()).map { "w/d/job-9${world.clock.now}$it" }, """{"st":"done","n":1}""") }
+            }
             "cloud-down" -> world.cloud.down = true
             "cloud-up" -> world.cloud.down = false
             "never-boots" -> world.cloud.bootsNever = w[1].toInt()
@@ -192,14 +200,24 @@
             "holder" -> holder(world).let { check("holder ${w[2]}", it, if (w[2] == "any") it != "none" else if (w[2].startsWith("not-")) it != "none" && "not-$it" != w[2] else it == w[2]) }
             "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "up" -> world.ask("GET", "/up", null, w[2]) { check("up ${w[2]} ${w[3]}", it.status, it.status == w[3].toInt()) }
+            // submission NODE STATUS JOB ...: as of `submit`; `without=FIELD` leaves one out, `FIELD:JSON` sets one.
+            "submission" -> world.clock.now.let { asked ->
+                if (w[3] == "201") world.rules.submitted[w[4]] = spec(w.drop(4).filter { ':' !in it })
+                world.users.submitOnce(w[4], body(w.drop(4)), w[2]) { status ->
+                    check("answer of ${w[2]} to ${w.drop(4)}", status, status == w[3].toInt())
+                    (world.clock.now - asked).let { took -> check("answered at once", "$took ms", took <= AT_ONCE_MS) }
+                }
+            }
             "everyone-known" -> world.rules.everyoneAccepted.forEach { job -> expectAnswer(world, job, world.clock.now + FORGOTTEN_MS) { check("everyone known", "no answer for $job", false) } }
             // Every accepted job is done, or its replicas all run; where a user asked for its end, it may be withdrawn.
             "everyone-served" -> world.rules.everyoneAccepted.forEach { job ->
                 expectServed(world, job, TRIES) { check("everyone served", "$job: $it", false) }
             }
             "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
+            // at-once METHOD TARGET STATUS [BODY] [at=NODE]
             "at-once" -> world.clock.now.let { asked ->
-                world.ask(w[2], w[3], w.getOrNull(5), null) {
+                val (node, body) = w.drop(5).partition { it.startsWith("at=") }
+                world.ask(w[2], w[3], body.firstOrNull(), node.firstOrNull()?.substringAfter('=')) {
                     check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt())
                     (world.clock.now - asked).let { took -> check("answered at once", "$took ms", took <= AT_ONCE_MS) }
                 }
@@ -235,6 +253,13 @@
         }
     }
 
+    private fun body(words: List<String>): String {
+        val spec = Users.SUBMISSION.encodeToJsonElement(WorkRequest.serializer(), spec(words.filter { ':' !in it })) as JsonObject
+        val without = words.filter { it.startsWith("without=") }.map { it.substringAfter('=') }
+        val set = words.filter { ':' in it }.joinToString("") { ",\"${it.substringBefore(':')}\":${it.substringAfter(':')}" }
+        return JsonObject(spec - without.toSet()).toString().dropLast(1) + set + "}"
+    }
+
     private fun spec(words: List<String>): WorkRequest {
         val o = words.drop(1).associate { it.substringBefore('=') to it.substringAfter('=') }
         return WorkRequest(
--- a/src/test/kotlin/ledgearch/world/StateStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/StateStandIn.kt
@@ -37,6 +37,9 @@
     /** ms. How late transactions that write are answered. */
     var slowMs = 0L
 
+    /** ms. How late transactions that only compare are answered. */
+    var slowCompareMs = 0L
+
     /** Share of the transactions that write which get no answer and are carried out 2 to 12 s later. */
     var lateShare = 0.0
 
@@ -73,7 +76,7 @@
             path == "/txn" -> {
                 val txn = WireJson.decodeFromString(Txn.serializer(), body.orEmpty())
                 when {
-                    txn.then.isEmpty() -> answer(txn(txn))
+                    txn.then.isEmpty() -> txn(txn).let { if (slowCompareMs == 0L) answer(it) else clock.after(slowCompareMs) { answer(it) } }
                     lateShare > 0 && random.nextDouble() < lateShare -> carryOutLater(txn)
                     unansweredShare > 0 && random.nextDouble() < unansweredShare -> txn(txn)
                     else -> txn(txn).let { if (slowMs == 0L) answer(it) else clock.after(slowMs) { answer(it) } }
@@ -182,9 +185,11 @@
     fun field(key: String, name: String): String? = ((keys[key]?.v as? JsonObject)?.get(name))?.jsonPrimitive?.content
 
     /** A key as something else wrote it. */
-    fun write(key: String, json: String) {
+    fun write(key: String, json: String) = writeAll(listOf(key), json)
+
+    fun writeAll(keys: List<String>, json: String) {
         edition++
-        set(key, Entry(WireJson.parseToJsonElement(json), edition, null))
+        keys.forEach { set(it, Entry(WireJson.parseToJsonElement(json), edition, null)) }
         wake()
     }
 
