--- a/src/main/kotlin/ledgearch/core/Records.kt
+++ b/src/main/kotlin/ledgearch/core/Records.kt
@@ -48,9 +48,12 @@
 @Serializable
 internal data class FinalRecord(val st: String, val n: Int = 0)
 
-/** Who holds a block. The stamp of this record is the block's token. */
+/**
+ * Who holds a block. The stamp of this record is the block's token. [over]: the token that it renews, 0 for a claim and in
+ * records of earlier versions.
+ */
 @Serializable
-internal data class GrantRecord(val node: String, val life: Long)
+internal data class GrantRecord(val node: String, val life: Long, val over: Long = 0)
 
 /** A holder gave the block up at this time of day (ms), since it heard next to no machine. */
 @Serializable
--- a/src/main/kotlin/ledgearch/core/Takeover.kt
+++ b/src/main/kotlin/ledgearch/core/Takeover.kt
@@ -61,6 +61,7 @@
 
     private fun restore(prefix: String, pair: KeyValue) {
         val name = pair.key.removePrefix(prefix)
+        journal.read(pair.key, pair.stamp)
         if (prefix == Keys.MACHINES) {
             journal.restore(name, pair, teams, now.steady).forEach(join)
         } else {
--- a/src/main/kotlin/ledgearch/leader/Election.kt
+++ b/src/main/kotlin/ledgearch/leader/Election.kt
@@ -76,14 +76,24 @@
         if (under == token && sentAt > verifiedAt) verifiedAt = sentAt
     }
 
+    /** A comparison of the grant held under [under] has failed. */
+    fun doubted(under: Long) {
+        if (holding && !bumping && token == under) compareGrant()
+    }
+
     /** The book has news of the grant. */
     fun grantChanged() {
-        val b = book()
-        if (holding && !bumping && b.grantStamp > token && !renewed(b.grantStamp)) lose("another grant was made: ${b.grant?.node}")
-        if (holding && !bumping && b.grantStamp == 0L && b.revision >= token) lose("the grant's lease ran out")
+        if (!bumping) compareBook()
         claimAt = now.steady + random.nextLong(Tuning.ELECTION_SPREAD_MS)
     }
 
+    /** The grant in the book is the one held, the one that took its place, or this node holds nothing any more. */
+    private fun compareBook() {
+        val b = book()
+        if (holding && b.grantStamp > token && !renewed(b.grant, b.grantStamp)) lose("another grant was made: ${b.grant?.node}")
+        if (holding && b.grantStamp == 0L && b.revision >= token) lose("the grant's lease ran out")
+    }
+
     fun lose(why: String) {
         if (!holding) return
         log.warn("block 0: grant {} lost: {}", token, why)
@@ -142,12 +152,12 @@
     }
 
     /**
-     * The grant at [stamp] in the book is this life's own: a renewed token whose transaction was answered too late. It was
-     * written over the token held till then, so nobody else had the block in between.
+     * [grant], made at [stamp], is this life's own: a renewed token whose transaction was answered too late. It was
+     * written over the token held till then, so nobody else had the block in between. A claim of this life that is carried
+     * out late says no such thing.
      */
-    private fun renewed(stamp: Long): Boolean {
-        val grant = book().grant
-        if (grant?.node != node || grant.life != life) return false
+    private fun renewed(grant: GrantRecord?, stamp: Long): Boolean {
+        if (grant?.node != node || grant.life != life || grant.over != token) return false
         log.info("block 0: token {} replaces {}", stamp, token)
         token = stamp
         listener.granted(token, fresh = false)
@@ -160,7 +170,7 @@
         bumping = true
         bumpedAt = now.steady
         val old = token
-        state.txn(listOf(condition), listOf(put()), Lane.VITAL) { result ->
+        state.txn(listOf(condition), listOf(put(over = old)), Lane.VITAL) { result ->
             if (token != old || !bumping) return@txn
             bumping = false
             when (result) {
@@ -173,8 +183,7 @@
                 // An earlier try may have been carried out late: the grant itself tells.
                 is TxnResult.Conflict -> compareGrant()
                 // Perhaps written: the book shows it, now or later.
-                TxnResult.Unknown -> if (book().grantStamp > token && !renewed(book().grantStamp)) lose("another grant was made")
-                TxnResult.NoLease, TxnResult.Refused -> Unit
+                TxnResult.Unknown, TxnResult.NoLease, TxnResult.Refused -> compareBook()
             }
         }
     }
@@ -187,7 +196,7 @@
             when (read) {
                 is ReadResult.Found -> {
                     val grant = decodeRecord(GrantRecord.serializer(), read.value.v)
-                    if (grant?.node != node || grant.life != life) lose("another grant was made: ${grant?.node}")
+                    if (read.value.stamp != token && !renewed(grant, read.value.stamp)) lose("another grant was made: ${grant?.node}")
                 }
                 ReadResult.Absent -> lose("the grant's lease ran out")
                 // The next comparison tells.
@@ -202,9 +211,7 @@
         return b.grantStamp > edition || (b.grantStamp == 0L && b.revision > edition)
     }
 
-    private fun put() = Change(put = Keys.grant(0), v = record(), permit = permit)
-
-    private fun record(): JsonElement = encode(GrantRecord.serializer(), GrantRecord(node, life))
+    private fun put(over: Long = 0) = Change(put = Keys.grant(0), v = encode(GrantRecord.serializer(), GrantRecord(node, life, over)), permit = permit)
 
     private fun <T> encode(serializer: KSerializer<T>, value: T): JsonElement = WireJson.encodeToJsonElement(serializer, value)
 
@@ -257,7 +264,7 @@
             verifying = false
             when (result) {
                 is TxnResult.Ok -> verified(sentAt, under)
-                is TxnResult.Conflict -> if (token == under && !bumping) compareGrant()
+                is TxnResult.Conflict -> doubted(under)
                 else -> Unit
             }
         }
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -123,6 +123,15 @@
                 world.state.unansweredShare = w[1].toDouble()
                 world.clock.at(seconds(3)) { world.state.unansweredShare = 0.0 }
             }
+            // late-under PREFIX by S until S: what changes such a key gets no answer, and is carried out so much later.
+            "late-under" -> world.state.late(w[1], seconds(3), seconds(5))
+            // forget-changes: the state service no longer tells those so far to watches.
+            "forget-changes" -> world.state.forgetChanges()
+            // busy NODE until S: it refuses connections of other controllers.
+            "busy" -> world.nodes.first { it.name == named(1) }.let { node ->
+                node.refusing = true
+                world.clock.at(seconds(3)) { node.refusing = false }
+            }
             // boot MS: so long machines take to come up.
             "boot" -> world.cloud.bootMs = w[1].toLong()
             "state-down" -> world.state.outage(true)
@@ -191,6 +200,7 @@
             "gone" -> check("gone ${w[2]}", true, w[2] !in world.cloud.names)
             "holder" -> holder(world).let { check("holder ${w[2]}", it, if (w[2] == "any") it != "none" else if (w[2].startsWith("not-")) it != "none" && "not-$it" != w[2] else it == w[2]) }
             "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
+            "keys-at-most" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} at most ${w[3]}", it, it <= w[3].toInt()) }
             "up" -> world.ask("GET", "/up", null, w[2]) { check("up ${w[2]} ${w[3]}", it.status, it.status == w[3].toInt()) }
             "everyone-known" -> world.rules.everyoneAccepted.forEach { job -> expectAnswer(world, job, world.clock.now + FORGOTTEN_MS) { check("everyone known", "no answer for $job", false) } }
             "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
--- a/src/test/kotlin/ledgearch/world/StateStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/StateStandIn.kt
@@ -4,7 +4,9 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.jsonPrimitive
+import ledgearch.config.StateLimits
 import ledgearch.http.Reply
+import ledgearch.state.TokenBucket
 import ledgearch.wire.KeyPage
 import ledgearch.wire.KeyValue
 import ledgearch.wire.LeaseReply
@@ -17,8 +19,8 @@
 import java.util.TreeMap
 import kotlin.random.Random
 
-/** The state service by its published protocol, limits on rates aside. */
-internal class StateStandIn(private val clock: Clockwork, private val random: Random) {
+/** The state service by its published protocol. */
+internal class StateStandIn(private val clock: Clockwork, private val random: Random, limits: StateLimits) {
     private class Entry(val v: JsonElement, val stamp: Long, val permit: Long?)
 
     private class Change(val edition: Long, val key: String, val entry: Entry?)
@@ -43,6 +45,17 @@
     /** Share of the transactions that write which are carried out at once and get no answer. */
     var unansweredShare = 0.0
 
+    /** Transactions that change a key with this prefix get no answer until [lateUntil], and are carried out [lateMs] later. */
+    private var latePrefix = ""
+    private var lateMs = 0L
+    private var lateUntil = 0L
+
+    private val requests = TokenBucket(limits.rps)
+    private val writes = TokenBucket(limits.writeRps)
+
+    /** Changes up to this revision are no longer told to watches. */
+    private var forgotten = 0L
+
     /** Until when which controllers alone get 503; their open watches wait, and their leases run out. */
     private val refusedUntil = HashMap<String, Long>()
 
@@ -62,22 +75,45 @@
         clock.at(until + 1) { wake() }
     }
 
+    fun late(prefix: String, ms: Long, until: Long) {
+        latePrefix = prefix
+        lateMs = ms
+        lateUntil = until
+    }
+
+    fun forgetChanges() {
+        forgotten = edition
+        history.clear()
+    }
+
+    private fun isLate(txn: Txn) = clock.now < lateUntil && txn.then.any { (it.put ?: it.remove.orEmpty()).startsWith(latePrefix) }
+
+    /** Whether the limits on rates let a request with so many changes pass. */
+    private fun passes(changes: Int): Boolean {
+        requests.refill(clock.now)
+        writes.refill(clock.now)
+        if (!requests.has(1) || !writes.has(changes)) return false
+        requests.take(1)
+        writes.take(changes)
+        return true
+    }
+
     private fun isRefused(node: String) = (refusedUntil[node] ?: 0) > clock.now
 
     fun handle(from: String, method: String, target: String, body: String?, answer: (Reply) -> Unit) {
         if (down || isRefused(from)) return answer(Reply(503, ""))
         expireLeases()
         val path = target.substringBefore('?')
+        val txn = if (path == "/txn") WireJson.decodeFromString(Txn.serializer(), body.orEmpty()) else null
+        if (!passes(txn?.then?.size ?: 0)) return answer(Reply(429, ""))
         val query = target.substringAfter('?', "").split('&').filter { it.isNotEmpty() }.associate { it.substringBefore('=') to it.substringAfter('=') }
         when {
-            path == "/txn" -> {
-                val txn = WireJson.decodeFromString(Txn.serializer(), body.orEmpty())
-                when {
-                    txn.then.isEmpty() -> answer(txn(txn))
-                    lateShare > 0 && random.nextDouble() < lateShare -> carryOutLater(txn)
-                    unansweredShare > 0 && random.nextDouble() < unansweredShare -> txn(txn)
-                    else -> txn(txn).let { if (slowMs == 0L) answer(it) else clock.after(slowMs) { answer(it) } }
-                }
+            txn != null -> when {
+                txn.then.isEmpty() -> answer(txn(txn))
+                isLate(txn) -> carryOutLater(txn, lateMs)
+                lateShare > 0 && random.nextDouble() < lateShare -> carryOutLater(txn, LATE_FROM_MS + random.nextLong(LATE_SPREAD_MS))
+                unansweredShare > 0 && random.nextDouble() < unansweredShare -> txn(txn)
+                else -> txn(txn).let { if (slowMs == 0L) answer(it) else clock.after(slowMs) { answer(it) } }
             }
             path == "/leases" -> {
                 val life = WireJson.decodeFromString(LeaseRequest.serializer(), body.orEmpty()).lifeMs
@@ -100,10 +136,10 @@
         }
     }
 
-    private fun carryOutLater(txn: Txn) {
-        clock.after(LATE_FROM_MS + random.nextLong(LATE_SPREAD_MS)) {
+    private fun carryOutLater(txn: Txn, ms: Long) {
+        clock.after(ms) {
             // In an outage nothing is carried out; what was under way is once it is over.
-            if (down) carryOutLater(txn) else txn(txn)
+            if (down) carryOutLater(txn, ms) else txn(txn)
         }
     }
 
@@ -153,6 +189,7 @@
     }
 
     private fun watch(node: String, prefix: String, since: Long, blockMs: Long, answer: (Reply) -> Unit) {
+        if (since < forgotten) return answer(Reply(410, "{}"))
         val w = Watch(node, prefix, since, answer)
         if (tryAnswer(w)) return
         watches.add(w)
@@ -188,6 +225,13 @@
         wake()
     }
 
+    /** Something else removes a key. */
+    fun remove(key: String) {
+        edition++
+        set(key, null)
+        wake()
+    }
+
     fun text(key: String) = keys[key]?.v.toString()
 
     fun stamp(key: String): Long = keys[key]?.stamp ?: 0
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -36,7 +36,7 @@
     val clock = Clockwork()
     val random = Random(seed)
     val rules = Rules(this)
-    val state = StateStandIn(clock, random)
+    val state = StateStandIn(clock, random, limits)
     val cloud = CloudStandIn(this)
     val workers = LinkedHashMap<String, WorkerStandIn>()
     val notes = ArrayList<String>()
@@ -89,6 +89,7 @@
         private var life = 0
         private var controller: Controller? = null
         val up: Boolean get() = controller != null
+        var refusing = false
 
         fun start() {
             val mine = ++life
@@ -150,11 +151,11 @@
                 if (address != null) look(address)
             }
 
-            /** A dead process refuses connections; one that can't be reached is silent. */
+            /** A dead process refuses connections, as does one without free sockets; one that can't be reached is silent. */
             private fun look(address: String) {
                 if (mine != life || followed != address) return
                 val peer = nodes.first { it.name == address.substringBefore(':') }
-                if (!peer.up && !unreachable(name, peer.name)) run(Command.PeerRefused(address))
+                if ((!peer.up || peer.refusing) && !unreachable(name, peer.name)) run(Command.PeerRefused(address))
                 clock.after(300) { look(address) }
             }
 
