--- a/src/main/kotlin/ledgearch/core/Courier.kt
+++ b/src/main/kotlin/ledgearch/core/Courier.kt
@@ -93,6 +93,8 @@
     /** The machine took what it was sent. */
     fun reached(m: Machine) {
         m.probesFailed = 0
+        // What was lost meanwhile is told once more.
+        if (m.pushBroken) want(m)
         m.pushBroken = false
         m.brokenSince = 0L
         broken.remove(m)
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -53,7 +53,7 @@
     private var tenure = 0L
     private var attemptSeq = 0L
     private val takeover = Takeover(state, book, journal, teams, now, ::join)
-    private val tasks = TaskNews(book, machines, estimates, journal, metrics, now, ::changed)
+    private val tasks = TaskNews(book, machines, estimates, journal, metrics, now, courier::want, ::changed)
     val replicas = Replicas(now, placer::usable) { stop(it) }
 
     /** The records of the block are read; from here on machines are confirmed and tasks placed. */
@@ -359,7 +359,8 @@
     }
 
     private fun confirm() {
-        for (m in unconfirmed) if (!m.releaseSent) courier.probe(m)
+        // Also those to be released: the cloud may be out, and an earlier holder may keep them until the token is shown.
+        for (m in unconfirmed) courier.probe(m)
         if (allConfirmedLogged || unconfirmed.any { it.inherited }) return
         allConfirmedLogged = true
         book.jobs.values.forEach { it.trusted = true }
--- a/src/main/kotlin/ledgearch/core/TaskNews.kt
+++ b/src/main/kotlin/ledgearch/core/TaskNews.kt
@@ -16,6 +16,7 @@
     private val journal: Journal,
     private val metrics: Metrics,
     private val now: Now,
+    private val want: (Machine) -> Unit,
     private val changed: () -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
@@ -23,9 +24,12 @@
     /** [m] has told all tasks on it. */
     fun listed(m: Machine, entries: List<PortionReport>) {
         for (entry in entries) {
-            val p = m.placements.get(entry.`try`) ?: found(m, entry)
+            val known = m.placements.get(entry.`try`)
+            val p = known ?: found(m, entry)
             p.listedAt = m.ticket
             update(p, entry)
+            // Its worker may be reporting to an earlier holder still, so it is told directly.
+            if (known == null && p.stop != Stop.NONE && !p.exited) want(m)
         }
         if (m.placements.values.all { it.listedAt == m.ticket }) return
         for (p in m.placements.values.toList()) {
