--- a/src/main/kotlin/ledgearch/core/Book.kt
+++ b/src/main/kotlin/ledgearch/core/Book.kt
@@ -30,11 +30,11 @@
  * kept by a watch, so changes are seen in the order of their revisions. A copy may be old: what is told to users
  * is confirmed first, and the holder's right is fenced by its token.
  */
-internal class Book(private val state: StateClient, private val now: Now, private val listener: BookListener) {
+internal class Book(private val state: StateClient, private val now: Now, private val listener: BookListener, finalsKept: Long) {
     private val log = LoggerFactory.getLogger("ledgearch.state")
     val jobs = LinkedHashMap<String, Job>()
     private val finals: Cache<String, FinalRecord> =
-        Caffeine.newBuilder().maximumSize(Tuning.FINAL_CACHE).executor(Runnable::run).build()
+        Caffeine.newBuilder().maximumSize(finalsKept).executor(Runnable::run).build()
     var racks: Map<String, Rack> = emptyMap()
         private set
     var grant: GrantRecord? = null
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -42,7 +42,15 @@
  * The one owner of all state of the process. It is given commands in batches with the time, and acts on the
  * world only through its transport; it knows no sockets, threads or clocks.
  */
-internal class Controller(settings: Settings, transport: Transport, private val mesh: Mesh, random: Random, life: Long, nanos: () -> Long) {
+internal class Controller(
+    settings: Settings,
+    transport: Transport,
+    private val mesh: Mesh,
+    random: Random,
+    life: Long,
+    nanos: () -> Long,
+    finalsKept: Long = Tuning.FINAL_CACHE,
+) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
     private val node = settings.node
     private val members = settings.members.associate { it.node to it.addr }
@@ -50,7 +58,7 @@
     private val metrics = Metrics(now, nanos)
     private val metered = MeteredTransport(transport, settings.outside, metrics, now)
     private val state = StateClient(settings.outside.state, settings.deployment.state, settings.members.size + 1, metered, now)
-    private val book = Book(state, now, BookEvents())
+    private val book = Book(state, now, BookEvents(), finalsKept)
     private val election: Election = Election(node, life, state, { book }, now, random, ElectionEvents())
     private val journal = Journal(state, election, book, now, (settings.deployment.state.valueKb * 1024).toInt())
     private val own = OwnTime(now, metrics)
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -34,6 +34,8 @@
             options["report-ms"]?.toLong() ?: 3000L, options["cpu"]?.toDouble() ?: 1.0,
             StateLimits(options["rps"]?.toDouble() ?: 200.0, options["write-rps"]?.toDouble() ?: 60.0, 8.0, 16),
             options["lease-ms"]?.toLong() ?: 14_000L,
+            // finals-kept COUNT: so many final states a controller remembers.
+            options["finals-kept"]?.toLong() ?: Tuning.FINAL_CACHE,
         )
         world.loss = options["loss"]?.toDouble() ?: 0.0
         world.cloud.capacity = options["capacity"]?.toInt() ?: 0
@@ -142,10 +144,6 @@
             "state-slow" -> world.state.slowMs = w[1].toLong()
             // compare-slow MS: those that only compare are.
             "compare-slow" -> world.state.slowCompareMs = w[1].toLong()
-            // finals COUNT EVERY-MS TIMES: so many jobs that nobody asks about have ended, and again.
-            "finals" -> repeat(w[3].toInt()) { i ->
-                world.clock.after(i * w[2].toLong()) { world.state.writeAll((1..w[1].toInt()).map { "w/d/job-9${world.clock.now}$it" }, """{"st":"done","n":1}""") }
-            }
             "cloud-down" -> world.cloud.down = true
             "cloud-up" -> world.cloud.down = false
             "never-boots" -> world.cloud.bootsNever = w[1].toInt()
--- a/src/test/kotlin/ledgearch/world/StateStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/StateStandIn.kt
@@ -222,11 +222,9 @@
     fun field(key: String, name: String): String? = ((keys[key]?.v as? JsonObject)?.get(name))?.jsonPrimitive?.content
 
     /** A key as something else wrote it. */
-    fun write(key: String, json: String) = writeAll(listOf(key), json)
-
-    fun writeAll(keys: List<String>, json: String) {
+    fun write(key: String, json: String) {
         edition++
-        keys.forEach { set(it, Entry(WireJson.parseToJsonElement(json), edition, null)) }
+        set(key, Entry(WireJson.parseToJsonElement(json), edition, null))
         wake()
     }
 
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -1,5 +1,6 @@
 package ledgearch.world
 
+import ledgearch.Tuning
 import ledgearch.config.CloudLimits
 import ledgearch.config.Deployment
 import ledgearch.config.Member
@@ -32,6 +33,7 @@
     private val cpu: Double = 1.0,
     private val limits: StateLimits = StateLimits(200.0, 60.0, 8.0, 16),
     val leaseMs: Long = 14_000L,
+    private val finalsKept: Long = Tuning.FINAL_CACHE,
 ) {
     val clock = Clockwork()
     val random = Random(seed)
@@ -93,7 +95,7 @@
 
         fun start() {
             val mine = ++life
-            controller = Controller(settings, NodeTransport(mine), NodeMesh(mine), Random(random.nextLong()), random.nextLong(Long.MAX_VALUE)) { clock.now }
+            controller = Controller(settings, NodeTransport(mine), NodeMesh(mine), Random(random.nextLong()), random.nextLong(Long.MAX_VALUE), { clock.now }, finalsKept)
             tick(mine)
         }
 
