--- a/src/main/kotlin/ledgearch/core/Book.kt
+++ b/src/main/kotlin/ledgearch/core/Book.kt
@@ -63,7 +63,7 @@
 
     fun rememberFinal(id: String, record: FinalRecord) {
         finals.put(id, record)
-        listener.jobClosed(jobs.remove(id), id, record.st)
+        jobs.remove(id)?.let { listener.jobClosed(it, id, record.st) }
     }
 
     /** Reads or watches on whenever neither is under way. */
--- a/src/main/kotlin/ledgearch/intake/Intake.kt
+++ b/src/main/kotlin/ledgearch/intake/Intake.kt
@@ -72,9 +72,6 @@
     private val submissions = LinkedHashMap<String, Submission>()
     private var submitting = false
     private var submitRetryAt = 0L
-
-    /** A grant of this node that was found to be gone. */
-    private var lostGrant = 0L
     private val polls = ArrayDeque<Poll>()
     private var confirming = false
     private var confirmRetryAt = 0L
@@ -197,8 +194,8 @@
         val batch = ArrayList<Submission>()
         val conditions = ArrayList<Condition>()
         val changes = ArrayList<Change>()
+        val underGrant = grant.holding
         val grantCondition = grant.condition
-        val underGrant = grant.holding && grantCondition.stamp != lostGrant
         if (underGrant) conditions.add(grantCondition)
         var bytes = 0
         for (s in submissions.values) {
@@ -227,15 +224,11 @@
                         s.late.forEach { poll(id, it) }
                     }
                 }
-                is TxnResult.Conflict -> {
-                    // Another holds the block and this node has yet to hear of it: submissions don't wait for that.
-                    if (grantCondition.key in result.failed) lostGrant = grantCondition.stamp
-                    for (s in batch) {
-                        val id = s.record.spec.ref
-                        if (Keys.job(id) in result.failed || Keys.final(id) in result.failed) {
-                            submissions.remove(id, s)
-                            for (r in s.first + s.late) resolve(id, r) { r(busy()) }
-                        }
+                is TxnResult.Conflict -> for (s in batch) {
+                    val id = s.record.spec.ref
+                    if (Keys.job(id) in result.failed || Keys.final(id) in result.failed) {
+                        submissions.remove(id, s)
+                        for (r in s.first + s.late) resolve(id, r) { r(busy()) }
                     }
                 }
                 // Not taken: the users are told at once, and when to come back.
