--- a/src/main/kotlin/ledgearch/state/StateClient.kt
+++ b/src/main/kotlin/ledgearch/state/StateClient.kt
@@ -79,6 +79,7 @@
     /** Its last word was that it refuses this node. */
     var refuses = false
         private set
+    private var refusedUntil = Long.MIN_VALUE
 
     init {
         share(holder = false)
@@ -159,6 +160,12 @@
                     next.done(Reply(429, ""))
                     continue
                 }
+                // It has just refused: whoever waits on this is told at once, and the budget is left to what finds out its end.
+                if (lane != Lane.VITAL && refuses && now.steady < refusedUntil) {
+                    queue.removeFirst()
+                    next.done(Reply(503, ""))
+                    continue
+                }
                 if (lane != Lane.VITAL && now.steady < pausedUntil) return
                 if (!requests.has(1) || !writes.has(next.writes)) return
                 queue.removeFirst()
@@ -170,7 +177,10 @@
                             lastAnswer = now.steady
                             refuses = false
                         }
-                        503 -> refuses = true
+                        503 -> {
+                            refuses = true
+                            refusedUntil = now.steady + Tuning.STATE_RETRY_MS
+                        }
                         429 -> pausedUntil = now.steady + Tuning.STATE_RETRY_MS
                     }
                     next.done(reply)
