--- a/src/test/kotlin/ledgearch/world/CloudStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/CloudStandIn.kt
@@ -56,6 +56,8 @@
     }
 
     private fun rent(request: RentRequest): Reply {
+        // Nothing here asks again under one name: a name that comes twice was given out twice.
+        if (request.booking in bookings) world.rules.violations.add("${world.clock.now} ms: booking ${request.booking} used again")
         val names = bookings[request.booking] ?: run {
             val room = capacity - machines.size
             if (room <= 0) return Reply(503, """{"error":"no capacity"}""")
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -125,6 +125,8 @@
             }
             // late-under PREFIX by S until S: what changes such a key gets no answer, and is carried out so much later.
             "late-under" -> world.state.late(w[1], seconds(3), seconds(5))
+            // blind NODE until S: what its watches would tell is lost.
+            "blind" -> world.state.blind(named(1), seconds(3))
             // forget-changes: the state service no longer tells those so far to watches.
             "forget-changes" -> world.state.forgetChanges()
             // busy NODE until S: it refuses connections of other controllers.
--- a/src/test/kotlin/ledgearch/world/StateStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/StateStandIn.kt
@@ -59,6 +59,8 @@
     /** Until when which controllers alone get 503; their open watches wait, and their leases run out. */
     private val refusedUntil = HashMap<String, Long>()
 
+    private val blindUntil = HashMap<String, Long>()
+
     private class Watch(val node: String, val prefix: String, val since: Long, val answer: (Reply) -> Unit) {
         var open = true
     }
@@ -88,6 +90,11 @@
 
     private fun isLate(txn: Txn) = clock.now < lateUntil && txn.then.any { (it.put ?: it.remove.orEmpty()).startsWith(latePrefix) }
 
+    /** Answers to this controller's watches are lost until then. */
+    fun blind(node: String, until: Long) {
+        blindUntil[node] = until
+    }
+
     /** Whether the limits on rates let a request with so many changes pass. */
     private fun passes(changes: Int): Boolean {
         requests.refill(clock.now)
@@ -212,6 +219,7 @@
         w.open = false
         watches.remove(w)
         val news = changes.map { if (it.entry != null) News(put = it.key, v = it.entry.v, stamp = it.edition) else News(remove = it.key, stamp = it.edition) }
+        if ((blindUntil[w.node] ?: 0) > clock.now) return
         w.answer(Reply(200, WireJson.encodeToString(NewsPage.serializer(), NewsPage(edition, news))))
     }
 
