--- a/src/main/kotlin/ledgearch/state/StateClient.kt
+++ b/src/main/kotlin/ledgearch/state/StateClient.kt
@@ -76,6 +76,11 @@
     var lastAnswer = Long.MIN_VALUE / 2
         private set
 
+    /** Its last word was that it refuses this node. */
+    var refuses = false
+        private set
+    private var refusedUntil = Long.MIN_VALUE
+
     init {
         share(holder = false)
     }
@@ -155,6 +160,12 @@
                     next.done(Reply(429, ""))
                     continue
                 }
+                // It has just refused: whoever waits on this is told at once, and the budget is left to what finds out its end.
+                if (lane != Lane.VITAL && refuses && now.steady < refusedUntil) {
+                    queue.removeFirst()
+                    next.done(Reply(503, ""))
+                    continue
+                }
                 if (lane != Lane.VITAL && now.steady < pausedUntil) return
                 if (!requests.has(1) || !writes.has(next.writes)) return
                 queue.removeFirst()
@@ -162,7 +173,14 @@
                 writes.take(next.writes)
                 transport.call(address, next.method, next.target, next.body, next.timeoutMs) { reply ->
                     when (reply.status) {
-                        200, 400, 404, 409, 410 -> lastAnswer = now.steady
+                        200, 400, 404, 409, 410 -> {
+                            lastAnswer = now.steady
+                            refuses = false
+                        }
+                        503 -> {
+                            refuses = true
+                            refusedUntil = now.steady + Tuning.STATE_RETRY_MS
+                        }
                         429 -> pausedUntil = now.steady + Tuning.STATE_RETRY_MS
                     }
                     next.done(reply)
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -1,5 +1,6 @@
 package ledgearch.world
 
+import kotlinx.serialization.json.JsonObject
 import ledgearch.Tuning
 import ledgearch.config.OperatorSettings
 import ledgearch.config.StateLimits
@@ -9,7 +10,7 @@
  * A scenario in a text file. A line is a time in seconds, a step and its words; `#` begins a comment. Steps of the
  * world change it; `expect` steps must hold at their time. The rules are checked throughout.
  */
-internal class Scenario(text: String) {
+internal class Scenario(text: String, private val seed: Long? = null) {
     private class Step(val line: Int, val at: Long, val words: List<String>)
 
     private val steps = ArrayList<Step>()
@@ -29,7 +30,7 @@
     /** What went wrong; empty when all is well. */
     fun play(): List<String> {
         val world = World(
-            options["nodes"]?.toInt() ?: 1, options["seed"]?.toLong() ?: 1, operator(), options["team-max"]?.toDouble() ?: World.TEAM_MAX,
+            options["nodes"]?.toInt() ?: 1, seed ?: options["seed"]?.toLong() ?: 1, operator(), options["team-max"]?.toDouble() ?: World.TEAM_MAX,
             options["report-ms"]?.toLong() ?: 3000L, options["cpu"]?.toDouble() ?: 1.0,
             StateLimits(options["rps"]?.toDouble() ?: 200.0, options["write-rps"]?.toDouble() ?: 60.0, 8.0, 16),
             options["lease-ms"]?.toLong() ?: 14_000L,
@@ -52,7 +53,8 @@
         fun seconds(i: Int) = (w[i].toDouble() * 1000).toLong()
         fun named(i: Int) = if (w[i] == "holder") holder(world) else w[i]
         when (w[0]) {
-            "submit" -> world.submit(spec(w.drop(1)))
+            // submit JOB WORDS: with at=NODE, at that controller.
+            "submit" -> world.users.submit(spec(w.drop(1)), w.firstOrNull { it.startsWith("at=") }?.substringAfter('='))
             // submit-many COUNT EVERY-MS ...: jobs numbered from 1000.
             "submit-many" -> repeat(w[1].toInt()) { i ->
                 world.clock.after(i * w[2].toLong()) { world.submit(spec(listOf("job-${FIRST_OF_MANY + i}") + w.drop(3))) }
@@ -140,6 +142,12 @@
             "state-up" -> world.state.outage(false)
             // state-slow MS: transactions that write are carried out at once and answered so much later.
             "state-slow" -> world.state.slowMs = w[1].toLong()
+            // compare-slow MS: those that only compare are.
+            "compare-slow" -> world.state.slowCompareMs = w[1].toLong()
+            // finals COUNT TIMES: so many jobs that nobody asks about have ended, and again every tenth of a second.
+            "finals" -> repeat(w[2].toInt()) { i ->
+                world.clock.after(i * 100L) { world.state.writeAll((1..w[1].toInt()).map { "w/d/job-9${world.clock.now}$it" }, """{"st":"done","n":1}""") }
+            }
             "cloud-down" -> world.cloud.down = true
             "cloud-up" -> world.cloud.down = false
             "never-boots" -> world.cloud.bootsNever = w[1].toInt()
@@ -204,10 +212,24 @@
             "keys" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} ${w[3]}", it, it == w[3].toInt()) }
             "keys-at-most" -> world.state.keysUnder(w[2]).size.let { check("keys ${w[2]} at most ${w[3]}", it, it <= w[3].toInt()) }
             "up" -> world.ask("GET", "/up", null, w[2]) { check("up ${w[2]} ${w[3]}", it.status, it.status == w[3].toInt()) }
+            // submission NODE STATUS JOB ...: as of `submit`; `without=FIELD` leaves one out, `FIELD:JSON` sets one.
+            "submission" -> world.clock.now.let { asked ->
+                if (w[3] == "201") world.rules.submitted[w[4]] = spec(w.drop(4).filter { ':' !in it })
+                world.users.submitOnce(w[4], body(w.drop(4)), w[2]) { status ->
+                    check("answer of ${w[2]} to ${w.drop(4)}", status, status == w[3].toInt())
+                    (world.clock.now - asked).let { took -> check("answered at once", "$took ms", took <= AT_ONCE_MS) }
+                }
+            }
             "everyone-known" -> world.rules.everyoneAccepted.forEach { job -> expectAnswer(world, job, world.clock.now + FORGOTTEN_MS) { check("everyone known", "no answer for $job", false) } }
+            // Every accepted job is done, or its replicas all run; where a user asked for its end, it may be withdrawn.
+            "everyone-served" -> world.rules.everyoneAccepted.forEach { job ->
+                expectServed(world, job, TRIES) { check("everyone served", "$job: $it", false) }
+            }
             "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
+            // at-once METHOD TARGET STATUS [BODY] [at=NODE]
             "at-once" -> world.clock.now.let { asked ->
-                world.ask(w[2], w[3], w.getOrNull(5), null) {
+                val (node, body) = w.drop(5).partition { it.startsWith("at=") }
+                world.ask(w[2], w[3], body.firstOrNull(), node.firstOrNull()?.substringAfter('=')) {
                     check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt())
                     (world.clock.now - asked).let { took -> check("answered at once", "$took ms", took <= AT_ONCE_MS) }
                 }
@@ -224,6 +246,13 @@
         }
     }
 
+    private fun expectServed(world: World, job: String, tries: Int, wrong: (String) -> Unit) {
+        world.poll(job) { status, state ->
+            val isServed = state == "done" || (state == "withdrawn" && world.rules.isCancelled(job)) || world.rules.runsWhole(job)
+            if (status != 200 && status != 404 && tries > 1) expectServed(world, job, tries - 1, wrong) else if (!isServed) wrong("$status $state")
+        }
+    }
+
     /** A poll that gets no answer is repeated, as users do. */
     private fun expectState(world: World, job: String, wanted: String, tries: Int, wrong: (String) -> Unit) {
         world.poll(job) { status, state ->
@@ -236,6 +265,13 @@
         }
     }
 
+    private fun body(words: List<String>): String {
+        val spec = Users.SUBMISSION.encodeToJsonElement(WorkRequest.serializer(), spec(words.filter { ':' !in it })) as JsonObject
+        val without = words.filter { it.startsWith("without=") }.map { it.substringAfter('=') }
+        val set = words.filter { ':' in it }.joinToString("") { ",\"${it.substringBefore(':')}\":${it.substringAfter(':')}" }
+        return JsonObject(spec - without.toSet()).toString().dropLast(1) + set + "}"
+    }
+
     private fun spec(words: List<String>): WorkRequest {
         val o = words.drop(1).associate { it.substringBefore('=') to it.substringAfter('=') }
         return WorkRequest(
--- a/src/test/kotlin/ledgearch/world/StateStandIn.kt
+++ b/src/test/kotlin/ledgearch/world/StateStandIn.kt
@@ -39,6 +39,9 @@
     /** ms. How late transactions that write are answered. */
     var slowMs = 0L
 
+    /** ms. How late transactions that only compare are answered. */
+    var slowCompareMs = 0L
+
     /** Share of the transactions that write which get no answer and are carried out 2 to 12 s later. */
     var lateShare = 0.0
 
@@ -116,7 +119,7 @@
         val query = target.substringAfter('?', "").split('&').filter { it.isNotEmpty() }.associate { it.substringBefore('=') to it.substringAfter('=') }
         when {
             txn != null -> when {
-                txn.then.isEmpty() -> answer(txn(txn))
+                txn.then.isEmpty() -> txn(txn).let { if (slowCompareMs == 0L) answer(it) else clock.after(slowCompareMs) { answer(it) } }
                 isLate(txn) -> carryOutLater(txn, lateMs)
                 lateShare > 0 && random.nextDouble() < lateShare -> carryOutLater(txn, LATE_FROM_MS + random.nextLong(LATE_SPREAD_MS))
                 unansweredShare > 0 && random.nextDouble() < unansweredShare -> txn(txn)
@@ -227,9 +230,11 @@
     fun field(key: String, name: String): String? = ((keys[key]?.v as? JsonObject)?.get(name))?.jsonPrimitive?.content
 
     /** A key as something else wrote it. */
-    fun write(key: String, json: String) {
+    fun write(key: String, json: String) = writeAll(listOf(key), json)
+
+    fun writeAll(keys: List<String>, json: String) {
         edition++
-        set(key, Entry(WireJson.parseToJsonElement(json), edition, null))
+        keys.forEach { set(it, Entry(WireJson.parseToJsonElement(json), edition, null)) }
         wake()
     }
 
