--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -235,6 +235,18 @@
      */
     const val CUT_ZONE_MS = 120_000L
 
+    /**
+     * ms. So long machines of which only reports or only answers to commands are missing are kept where that is so of most:
+     * what is wrong between this node and them mostly ends sooner, and if it does not others must be rented.
+     */
+    const val PATH_FAULT_MS = 120_000L
+
+    /**
+     * ms. A machine that is up by the list and has not reported for this long is given back: its worker has tried every
+     * controller by then, at 5 s for each that does not answer.
+     */
+    const val UNHEARD_MS = 30_000L
+
     /** ms. A gap in the owner's own time that makes all silence look longer than it was. */
     const val OWN_PAUSE_MS = 700L
 
@@ -329,6 +341,10 @@
     /** Machines. Held at one time for starved jobs that find no room: they stand partly idle meanwhile. */
     const val HELD_AT_ONCE = 3
 
+    /** ms. So long one is held, and for so long then no other for the same job: nobody waits longer beside fitting room. */
+    const val HOLD_MS = 75_000L
+    const val HOLD_PAUSE_MS = 5_000L
+
     // --- Placement: what things are worth ---
     /** Seconds that a job waits for room to free by itself, at most half the time in which it is to start. */
     const val PATIENCE_S = 2.0
--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -218,7 +218,10 @@
         if (isReport && report.ticket > m.reportTicket) {
             m.reportTicket = report.ticket
             m.reportAt = now.steady
-            if (current) m.heardAt = now.steady
+            if (current) {
+                m.heardAt = now.steady
+                m.reportedAt = now.steady
+            }
         }
         if (report.ticket <= m.ticket) return
         m.ticket = report.ticket
--- a/src/main/kotlin/ledgearch/core/Job.kt
+++ b/src/main/kotlin/ledgearch/core/Job.kt
@@ -66,6 +66,9 @@
     /** What the holder last told of it, on the nodes that are not holder; what was last told, on the holder. */
     var shown: Progress? = null
 
+    /** ms since a task of it was started, or since it came. */
+    fun unservedMs(wallMs: Long) = wallMs - maxOf(servedAt, record.at)
+
     /** Waits for room, and nothing else holds it back. */
     fun startable(nowMs: Long) = trusted && !closing && !record.cancel && pendingCount > 0 && nowMs >= notBefore
 
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -40,6 +40,12 @@
     var heardAt = knownSince
     var answeredAt = 0L
 
+    /** Steady ms of the last report: its answer alone renews the lease, whatever direct commands reach and bring back. */
+    var reportedAt = knownSince
+
+    /** No report has come for longer than a worker takes for one: what is started here now may end with the lease. */
+    var overdue = false
+
     /** Steady ms at which the cloud takes the machine, or 0. */
     var recallAt = 0L
     var pushing = false
@@ -61,7 +67,7 @@
     var releaseSent = false
 
     /** Serves, and nothing says that it will not go on. */
-    val inService: Boolean get() = confirmed && !releasing && !draining && !retiring && probesFailed == 0
+    val inService: Boolean get() = confirmed && !releasing && !draining && !retiring && !overdue && probesFailed == 0
 
     /** Failures in a row by tasks of different jobs. */
     val errorJobs = LinkedHashSet<String>()
@@ -132,8 +138,12 @@
 
     fun hasRoom(job: Job): Boolean = placements.size < Tuning.MACHINE_TASKS && room.fits(job)
 
-    /** A task of [job] would fit if the machine were empty. */
-    fun couldHold(job: Job): Boolean = Room(rack).fits(job)
+    /** A task of [job] would fit once all that ends by itself has ended. */
+    fun couldHold(job: Job): Boolean {
+        val room = Room(rack)
+        for (p in placements.values) if (!p.exited && p.job?.standing != false) room.take(p.job)
+        return room.fits(job)
+    }
 
     /** A copy of what is free. */
     fun roomLeft() = room.copy()
--- a/src/main/kotlin/ledgearch/core/Silence.kt
+++ b/src/main/kotlin/ledgearch/core/Silence.kt
@@ -39,6 +39,7 @@
         if (now.steady < watchAt) return
         watchAt = now.steady + Tuning.WATCH_SILENCE_MS
         val back = cutZones.update(machines.values) { if (it.inherited && !it.confirmed) false else !silentFor(it, Tuning.CUT_REPORTS) }
+        for (m in machines.values) m.overdue = silentFor(m, Tuning.OVERDUE_REPORTS)
         if (back.isNotEmpty()) machines.values.filter { it.hall in back }.forEach(::startAnew)
         releaseMissing()
         releaseUnreached()
@@ -87,15 +88,17 @@
         val lost = courier.broken.filter {
             !it.releasing && !mayComeBack(it) && it.probesFailed >= Tuning.PROBES && now.steady - it.brokenSince > (reportMs * Tuning.LOST_REPORTS).toLong()
         }
-        if (lost.isEmpty() || courier.broken.size > machines.size * Tuning.MOST) return
+        val mostBroken = courier.broken.size > machines.size * Tuning.MOST
         for (m in lost) {
+            // Then it may be this node, for a time.
+            if (mostBroken && now.steady - m.brokenSince < Tuning.PATH_FAULT_MS) continue
             log.warn("machine {} is heard but not reached for {} ms; it is released", m.name, now.steady - m.brokenSince)
             release(m)
         }
     }
 
     private fun silentFor(m: Machine, reports: Double) =
-        now.steady - maxOf(m.heardAt, own.lateAt, election.grantedAt, cutZones.backAt(m.hall)) > (reportMs * reports).toLong()
+        now.steady - maxOf(m.reportedAt, own.lateAt, election.grantedAt, cutZones.backAt(m.hall)) > (reportMs * reports).toLong()
 
     private fun watch() {
         val active = machines.values.filter { !it.releasing }
@@ -107,6 +110,7 @@
             return
         }
         val heard by lazy(LazyThreadSafetyMode.NONE) { Heard(active) }
+        val mostMute = active.count { isMute(it) } > active.size * Tuning.MOST
         for (m in courier.broken) if (!m.releasing) courier.probe(m)
         for (m in machines.values.toList()) {
             if (!silentFor(m, Tuning.OVERDUE_REPORTS)) {
@@ -121,14 +125,21 @@
             }
             if (m.confirmed && !m.releasing) courier.probe(m)
             if (!silentFor(m, Tuning.LOST_REPORTS) && !surelyLost(m, heard)) continue
-            if (!m.releasing && !mayComeBack(m)) {
-                log.warn("machine {} is silent for {} ms; it is released", m.name, now.steady - m.heardAt)
+            if (!m.releasing && !mayComeBack(m) && !(mostMute && isMute(m))) {
+                log.warn("machine {} is silent for {} ms; it is released", m.name, now.steady - m.reportedAt)
                 release(m)
             }
             leaseRanOut(m)
         }
     }
 
+    /**
+     * Its worker answers direct commands and reports to nobody here. Where most do so the fault may be this node's, and
+     * they are kept for some time: a fleet is not given back for a fault on one path.
+     */
+    private fun isMute(m: Machine) = m.confirmed && m.probesFailed == 0 && !m.pushBroken && m.heardAt > m.reportedAt &&
+        silentFor(m, Tuning.CUT_REPORTS) && now.steady - m.reportedAt < Tuning.PATH_FAULT_MS
+
     /** The time that its notice gave is over, and it was not heard since. */
     private fun isTaken(m: Machine) =
         m.confirmed && m.recallAt != 0L && m.heardAt < m.recallAt && now.steady > m.recallAt + Tuning.TAKEN_MARGIN_MS
--- a/src/main/kotlin/ledgearch/core/placement/Estimates.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Estimates.kt
@@ -2,6 +2,8 @@
 
 import ledgearch.Tuning
 import ledgearch.core.Job
+import ledgearch.core.Machine
+import ledgearch.core.TaskStatus
 import kotlin.math.exp
 import kotlin.math.ln
 
@@ -38,6 +40,18 @@
 
     /** Processors that the running tasks of [jobs] free each second. */
     fun freedASecond(jobs: Collection<Job>): Double = jobs.sumOf { job ->
-        if (job.standing || job.runningCount == 0) 0.0 else job.runningCount * job.spec.vcpus / maxOf(seconds(job), 1.0)
+        if (job.runningCount == 0) 0.0 else job.runningCount * freedASecond(job)
     }
+
+    /** The same of each zone. */
+    fun freedASecondByZone(machines: Collection<Machine>): Map<String, Double> {
+        val freed = HashMap<String, Double>()
+        for (m in machines) for (p in m.placements.values) {
+            if (p.status == TaskStatus.RUNNING) p.job?.let { freed.merge(m.hall, freedASecond(it), Double::plus) }
+        }
+        return freed
+    }
+
+    /** By one running task. */
+    private fun freedASecond(job: Job) = if (job.standing) 0.0 else job.spec.vcpus / maxOf(seconds(job), 1.0)
 }
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -36,7 +36,9 @@
     private val misfits = Misfits()
 
     /** Machines held for starved jobs. */
-    private val holds = HashMap<Job, Machine>()
+    private val holds = HashMap<Job, Hold>()
+
+    private class Hold(val machine: Machine, val until: Long)
 
     fun forget(job: Job) {
         bound.remove(job)?.forEach { it.unbind(job) }
@@ -97,14 +99,22 @@
 
     private fun withoutHeld(held: Set<Machine>, usable: List<Machine>) = if (held.isEmpty()) usable else usable.filter { it !in held }
 
-    /** The machine held for [job]: the same as before while it will do, else the one with most room that could take it. */
+    /**
+     * The machine held for [job]: the same as before while it will do, else the one with most room that could take it. After
+     * a while it is let go for a moment, since what runs there may go on for long and others wait beside its room.
+     */
     private fun hold(job: Job, free: List<Machine>): Machine? {
-        val zones = Zones(job)
         val before = holds[job]
-        val m = if (before != null && before in free) before else free
+        if (before != null && now.steady < before.until) {
+            if (before.machine in free) return before.machine
+        } else if (before != null && now.steady < before.until + Tuning.HOLD_PAUSE_MS) {
+            return null
+        }
+        val zones = Zones(job)
+        val m = free
             .filter { it.allows(job) && zones.allows(it.hall) && it.couldHold(job) }
-            .minByOrNull { it.usedCpus }
-        if (m != null) holds[job] = m
+            .minByOrNull { it.usedCpus } ?: return null
+        holds[job] = Hold(m, now.steady + Tuning.HOLD_MS)
         return m
     }
 
@@ -119,7 +129,7 @@
     }
 
     fun usable(m: Machine) =
-        m.durable && m.confirmed && !m.draining && !m.retiring && !m.releasing && !m.pushBroken && m.probesFailed == 0 && m.recallAt == 0L && now.steady >= m.refusedUntil
+        m.durable && m.confirmed && !m.draining && !m.retiring && !m.releasing && !m.pushBroken && !m.overdue && m.probesFailed == 0 && m.recallAt == 0L && now.steady >= m.refusedUntil
 
     private fun startAnywhere(job: Job, usable: List<Machine>, leave: Int = 0) {
         if (misfits.covers(job)) return
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -47,7 +47,7 @@
      * No task of the job was started for so long that it goes before all others. Without this bound a steady stream of
      * little or more urgent work would keep a large job waiting for ever.
      */
-    fun starved(job: Job) = now.wall - maxOf(job.servedAt, job.record.at) > Tuning.STARVED_MS
+    fun starved(job: Job) = job.unservedMs(now.wall) > Tuning.STARVED_MS
 
     private class Rank(val job: Job, val lateness: Int, val cost: Double)
 
--- a/src/main/kotlin/ledgearch/fleet/Demand.kt
+++ b/src/main/kotlin/ledgearch/fleet/Demand.kt
@@ -30,6 +30,9 @@
     /** Where its tasks are or are planned to be. */
     val zones = Zones(job)
 
+    /** The one zone that its tasks may be in, or null where there are several. */
+    val onlyZone: String? = job.spec.hall ?: if (job.spec.samePlace) job.placements.values.firstOrNull()?.machine?.hall else null
+
     fun unmetBy(supplies: List<Supply>): Int {
         var left = tasks
         for (s in supplies) {
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -67,6 +67,9 @@
     private var bookingSeq = 0L
     private val booting = LinkedHashMap<String, Booting>()
     private val exhausted = HashMap<String, Long>()
+
+    /** Machines that the list shows as up and that have not reported, and the steady ms since when. */
+    private val unheard = HashMap<String, Long>()
     private val toRelease = LinkedHashSet<String>()
     private val returned = LinkedHashSet<String>()
     private var releasing = false
@@ -74,6 +77,7 @@
 
     fun end() {
         booting.clear()
+        unheard.clear()
         toRelease.clear()
         returned.clear()
         exhausted.clear()
@@ -86,6 +90,7 @@
 
     fun arrived(m: Machine) {
         booting.remove(m.name)
+        unheard.remove(m.name)
     }
 
     /** The machine gets nothing more and is given back; once asked for, this is never taken back. */
@@ -189,13 +194,23 @@
                     booting[stove.ref] = Booting(Pool(rack, stove.hall, stove.borrowed), now.steady - (stove.heldS * 1000).toLong())
                 }
             }
-            else -> Unit
+            else -> if (m == null) unheard(holder, stove)
         }
     }
 
+    /** A machine that is up but whose worker reaches no controller is of no use, and nobody waits for it as for one that boots. */
+    private fun unheard(holder: Holder, stove: ListedStove) {
+        val since = unheard.getOrPut(stove.ref) { now.steady }
+        if (now.steady - since < Tuning.UNHEARD_MS || holder.isCutOff(stove.hall)) return
+        log.info("machine {} is up and does not report; it is returned", stove.ref)
+        unheard.remove(stove.ref)
+        booting.remove(stove.ref)
+        toRelease.add(stove.ref)
+    }
+
     private fun plan(holder: Holder) {
         for ((name, b) in booting.entries.toList()) {
-            if (now.steady - b.since > b.pool.rack.startupS * 1000 * Tuning.BOOT_PATIENCE + listLagMs) {
+            if (now.steady - b.since > b.pool.rack.startupS * 1000 * Tuning.BOOT_PATIENCE + listLagMs && !isScouting(holder, name, b)) {
                 booting.remove(name)
                 toRelease.add(name)
             }
@@ -223,15 +238,17 @@
         val planned = LinkedHashMap<Pool, Int>()
         val mayRent = minOf(Tuning.RENT_AT_ONCE, settings.operator.maxMachines - holder.machines.size - booting.size)
         var freed = 0.0
+        val churnIn by lazy(LazyThreadSafetyMode.NONE) { holder.estimates.freedASecondByZone(holder.machines.values) }
         for (need in needs) {
             var left = need.unmetBy(coming)
             val spec = need.job.spec
-            if (!need.job.standing && spec.vcpus > 0) {
+            // One that has starved beside all that frees is not served by it.
+            if (!need.job.standing && spec.vcpus > 0 && need.job.unservedMs(now.wall) <= Tuning.STARVED_MS) {
                 val startup = bootS()
                 // Where only dear machines are left to rent, all that frees before one could be up is counted on.
                 val dear = isDear(need.job, cheapest(holder, need, planned))
                 val within = if (dear) startup else holder.reserve.startWithinS(need.job, startup)
-                val soon = churn * within * (if (dear) 1.0 else Tuning.CHURN_COUNTED) - freed
+                val soon = (need.onlyZone?.let { churnIn[it] ?: 0.0 } ?: churn) * within * (if (dear) 1.0 else Tuning.CHURN_COUNTED) - freed
                 val served = minOf(left, (soon / spec.vcpus).toInt().coerceAtLeast(0))
                 left -= served
                 freed += served * spec.vcpus
@@ -252,12 +269,26 @@
         for ((pool, count) in planned) if (key(pool) !in renting && bucket.has(1)) rent(pool, minOf(count, MAX_RENT))
     }
 
-    /** Not in a zone that is cut off: what is rented there can't be reached. */
+    /** Not in a zone that is cut off: what is rented there can't be reached, and no more than a scout is. */
     private fun cheapest(holder: Holder, need: Demand, planned: Map<Pool, Int>): Pool? {
-        val pools = pools(need.job).filter { need.zones.allows(it.hall) && !holder.isCutOff(it.hall) && now.steady >= (exhausted[key(it)] ?: Long.MIN_VALUE) }
-        return pools.minWithOrNull(compareBy({ it.price }, { p -> booting.values.count { it.pool.hall == p.hall } + (planned[p] ?: 0) }))
+        val pools = pools(need.job).filter { need.zones.allows(it.hall) }
+        return pools.filter { !holder.isCutOff(it.hall) }.ifEmpty { pools.filter { mayScout(holder, it.hall, planned) } }
+            .filter { now.steady >= (exhausted[key(it)] ?: Long.MIN_VALUE) }
+            .minWithOrNull(compareBy({ it.price }, { p -> booting.values.count { it.pool.hall == p.hall } + (planned[p] ?: 0) }))
     }
 
+    /** It is up in a zone that is cut off, and its first report will tell that the zone is back. */
+    private fun isScouting(holder: Holder, name: String, b: Booting) =
+        holder.isCutOff(b.pool.hall) && unheard[name].let { it != null && now.steady - it < Tuning.CUT_ZONE_MS }
+
+    /**
+     * No machine is left in the zone that would tell when it is heard again: one is rented, for work that can go nowhere
+     * else.
+     */
+    private fun mayScout(holder: Holder, hall: String, planned: Map<Pool, Int>) =
+        booting.values.none { it.pool.hall == hall } && planned.keys.none { it.hall == hall } && renting.none { "/$hall/" in it } &&
+            holder.machines.values.none { it.hall == hall && !it.releasing }
+
     private fun pools(job: Job): List<Pool> {
         return book().racks.values
             .filter { Room(it).fits(job) }
--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -92,12 +92,14 @@
             "uncommanded" -> world.uncommanded.add(host(world, w[1]))
             // unreporting MACHINE: its reports reach nobody, direct commands reach it.
             "unreporting" -> world.unreporting.add(host(world, w[1]))
-            // mute MACHINE|COUNT until S: reports reach nobody, direct commands reach it.
+            // mute MACHINE|zone-ZONE|COUNT until S: reports reach nobody, direct commands reach it.
             "mute" -> world.mute(w[1].toIntOrNull()?.let { world.cloud.names.take(it) } ?: listOf(host(world, w[1])), seconds(3))
             // slow A B until S MS [oneway]: messages between them, or only from the first to the second, take so much longer.
             "slow" -> world.slow(pattern(world, w[1]), pattern(world, w[2]), seconds(4), w[5].toLong(), w.getOrNull(6) == "oneway")
             // keep-copies SHARE: of reports, copies reach every controller when the next grant is made.
             "keep-copies" -> world.keptShare = w[1].toDouble()
+            // unanswered MACHINE: its reports arrive, their answers are lost, direct commands reach it.
+            "unanswered" -> world.unanswered.add(host(world, w[1]))
             // copies SHARE within S: of that share of reports from now on a copy comes up to so much later.
             "copies" -> {
                 world.copied = w[1].toDouble()
--- a/src/test/kotlin/ledgearch/world/World.kt
+++ b/src/test/kotlin/ledgearch/world/World.kt
@@ -209,7 +209,7 @@
         slowLinks.add(SlowLink(a, b, until, ms, oneWay))
     }
 
-    /** Machines whose reports reach nobody, though direct commands reach them and are answered. */
+    /** Machines, or `zone-a`, whose reports reach nobody, though direct commands reach them and are answered. */
     val unreporting = HashSet<String>()
 
     fun mute(names: Collection<String>, until: Long) {
@@ -247,11 +247,14 @@
         look()
     }
 
+    /** Machines whose reports arrive though the answers to them are lost; direct commands reach them and are answered. */
+    val unanswered = HashSet<String>()
+
     /** A report; a copy of it may come late, whose answer reaches nobody. */
     fun sendReport(from: String, to: String, body: String, answer: (Reply) -> Unit) {
-        if (from in unreporting) return
+        if (from in unreporting || "zone-" + workers[from]?.hall in unreporting) return
         keep(body)
-        send(from, to, "POST", "/checkin", body, answer)
+        send(from, to, "POST", "/checkin", body) { if (from !in unanswered) answer(it) }
         if (copied > 0 && random.nextDouble() < copied) {
             val node = nodes[random.nextInt(nodes.size)]
             clock.after(1 + random.nextLong(copyDelayMs)) { node.serve("POST", "/checkin", body) { } }
@@ -272,7 +275,10 @@
     // --- Machines -----------------------------------------------------------------------------------------------
 
     fun bootWorker(name: String, type: String, hall: String, borrowed: Boolean) {
-        workers[name] = WorkerStandIn(this, name, type, hall, borrowed).also { it.boot() }
+        val worker = WorkerStandIn(this, name, type, hall, borrowed)
+        // First it is in its zone: a cut of that zone holds back its first report too.
+        workers[name] = worker
+        worker.boot()
     }
 
     fun removeWorker(name: String) {
