--- a/src/test/kotlin/ledgearch/world/Users.kt
+++ b/src/test/kotlin/ledgearch/world/Users.kt
@@ -1,5 +1,6 @@
 package ledgearch.world
 
+import kotlinx.serialization.json.Json
 import ledgearch.http.Reply
 import ledgearch.wire.WireJson
 import ledgearch.wire.WorkRequest
@@ -16,24 +17,26 @@
     /** Share of the jobs that end which are cancelled at that moment. */
     var cancelsAtEnd = 0.0
 
-    fun submit(spec: WorkRequest) {
+    fun submit(spec: WorkRequest, node: String? = null) {
         rules.submitted[spec.ref] = spec
         val until = clock.now + PATIENCE_MS
         fun attempt() {
-            submitOnce(spec, null) { status ->
+            submitOnce(spec.ref, body(spec), node) { status ->
                 if (status !in FINAL_ANSWERS && clock.now < until) clock.after(1000) { attempt() }
             }
         }
         attempt()
     }
 
-    private fun submitOnce(spec: WorkRequest, node: String?, answered: (Int) -> Unit) {
+    private fun body(spec: WorkRequest) = SUBMISSION.encodeToString(WorkRequest.serializer(), spec)
+
+    fun submitOnce(job: String, body: String, node: String?, answered: (Int) -> Unit) {
         val askedAt = clock.now
-        ask("POST", "/work", WireJson.encodeToString(WorkRequest.serializer(), spec), node) { reply ->
-            val isNew = !rules.isAccepted(spec.ref)
-            rules.submitAnswered(spec.ref, reply.status, stateIn(reply), askedAt)
+        ask("POST", "/work", body, node) { reply ->
+            val isNew = !rules.isAccepted(job)
+            rules.submitAnswered(job, reply.status, stateIn(reply), askedAt)
             answered(reply.status)
-            if (isNew && rules.isAccepted(spec.ref)) lookClosely(spec.ref)
+            if (isNew && rules.isAccepted(job)) lookClosely(job)
         }
     }
 
@@ -76,7 +79,7 @@
             for (node in world.nodes) {
                 if (!node.up) continue
                 val spec = rules.submitted[job]
-                if (spec != null && world.random.nextInt(REPEATS) == 0) submitOnce(spec, node.name) { } else poll(job, node.name) { _, _ -> }
+                if (spec != null && world.random.nextInt(REPEATS) == 0) submitOnce(job, body(spec), node.name) { } else poll(job, node.name) { _, _ -> }
             }
             if (clock.now < until) clock.after(1 + world.random.nextLong(LOOK_EVERY_MS)) { again() }
         }
@@ -111,13 +114,15 @@
         if (live.isNotEmpty()) world.send("user", live[world.random.nextInt(live.size)].name, method, target, body) { finish(it) }
     }
 
-    private companion object {
-        const val PATIENCE_MS = 60_000L
-        val FINAL_ANSWERS = setOf(200, 201, 400, 422)
-        const val AT_END_MS = 60L
-        const val LOOK_MS = 250L
-        const val LOOK_EVERY_MS = 12L
-        const val REPEATS = 4
-        const val MOST_HANGS = 8
+    companion object {
+        /** Users leave out only what may be null. */
+        val SUBMISSION = Json(WireJson) { encodeDefaults = true }
+        private const val PATIENCE_MS = 60_000L
+        private val FINAL_ANSWERS = setOf(200, 201, 400, 422)
+        private const val AT_END_MS = 60L
+        private const val LOOK_MS = 250L
+        private const val LOOK_EVERY_MS = 12L
+        private const val REPEATS = 4
+        private const val MOST_HANGS = 8
     }
 }
