--- a/src/main/kotlin/ledgearch/core/Courier.kt
+++ b/src/main/kotlin/ledgearch/core/Courier.kt
@@ -140,10 +140,15 @@
         val body = WireJson.encodeToString(OrdersRequest.serializer(), OrdersRequest(election.token, maxOf(m.shift, 1L), list))
         val shift = m.shift
         val ticket = m.ticket
-        transport.call(m.endpoint, "POST", "/orders", body, timeoutMs) { reply ->
+        val sentAt = now.steady
+        // Over a slow link answers are awaited for as long as the last one took and half as long again.
+        transport.call(m.endpoint, "POST", "/orders", body, maxOf(timeoutMs, m.answerMs * 3 / 2)) { reply ->
             if (tenure != mine) return@call
             val answer = if (reply.status == 200 || reply.status == 409) parse(reply)?.takeIf { it.stove == m.name } else null
-            if (answer != null) reached(m)
+            if (answer != null) {
+                m.answerMs = now.steady - sentAt
+                reached(m)
+            }
             // Numbers only grow, and this answer was made after the request: they have begun anew, and the worker with them.
             if (answer != null && isHere(m) && (answer.shift < shift || (answer.shift == shift && answer.ticket <= ticket))) begunAnew(m)
             done(answer)
@@ -162,7 +167,7 @@
         probesOpen++
         val sentAt = now.steady
         val session = m.shift
-        direct(m, emptyList(), Tuning.PROBE_MS) { answer ->
+        direct(m, emptyList(), Tuning.PROBE_MS * (1 + (m.probesFailed + 1 - Tuning.PROBES).coerceIn(0, Tuning.MOST_PROBE_PAUSES))) { answer ->
             m.pushing = false
             probesOpen--
             if (answer == null) {
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -50,6 +50,9 @@
     var recallAt = 0L
     var pushing = false
 
+    /** ms that its last answer to a direct command took. */
+    var answerMs = 0L
+
     /** What was sent did not reach the machine: nothing new is given to it before it is reached again. */
     var pushBroken = false
 
