--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -242,6 +242,8 @@
             if (!m.durable) journal.bind(m)
             placer.machinesChanged()
             m.answeredAt = now.steady
+            // It may have found the way back only now: its next report is due from here on.
+            m.reportedAt = now.steady
             dirty = true
         }
         tasks.listed(m, report.portions)
