--- a/src/main/kotlin/ledgearch/core/Holder.kt
+++ b/src/main/kotlin/ledgearch/core/Holder.kt
@@ -218,7 +218,10 @@
         if (isReport && report.ticket > m.reportTicket) {
             m.reportTicket = report.ticket
             m.reportAt = now.steady
-            if (current) m.heardAt = now.steady
+            if (current) {
+                m.heardAt = now.steady
+                m.reportedAt = now.steady
+            }
         }
         if (report.ticket <= m.ticket) return
         m.ticket = report.ticket
@@ -239,6 +242,8 @@
             if (!m.durable) journal.bind(m)
             placer.machinesChanged()
             m.answeredAt = now.steady
+            // It may have found the way back only now: its next report is due from here on.
+            m.reportedAt = now.steady
             dirty = true
         }
         tasks.listed(m, report.portions)
