Scenarios: one loop of repeated polls serves states and everyone-served

The second loop had been written beside the first. As strict, and in one case stricter: a service whose replicas all run no longer counts as served while no question about it is answered, or it gets 404.

--- a/src/test/kotlin/ledgearch/world/Scenario.kt
+++ b/src/test/kotlin/ledgearch/world/Scenario.kt
@@ -5,6 +5,7 @@
 import ledgearch.config.OperatorSettings
 import ledgearch.config.StateLimits
 import ledgearch.wire.WorkRequest
+import ledgearch.wire.WorkStates
 
 /**
  * A scenario in a text file. A line is a time in seconds, a step and its words; `#` begins a comment. Steps of the
@@ -223,7 +224,7 @@
             "everyone-known" -> world.rules.everyoneAccepted.forEach { job -> expectAnswer(world, job, world.clock.now + FORGOTTEN_MS) { check("everyone known", "no answer for $job", false) } }
             // Every accepted job is done, or its replicas all run; where a user asked for its end, it may be withdrawn.
             "everyone-served" -> world.rules.everyoneAccepted.forEach { job ->
-                expectServed(world, job, TRIES) { check("everyone served", "$job: $it", false) }
+                expectState(world, job, TRIES, { isServed(world, job, it) }) { check("everyone served", "$job: $it", false) }
             }
             "answer" -> world.ask(w[2], w[3], w.getOrNull(5), null) { check("answer to ${w[2]} ${w[3]}", it.status, it.status == w[4].toInt()) }
             // at-once METHOD TARGET STATUS [BODY] [at=NODE]
@@ -234,7 +235,7 @@
                     (world.clock.now - asked).let { took -> check("answered at once", "$took ms", took <= AT_ONCE_MS) }
                 }
             }
-            else -> expectState(world, w[1], w[2], TRIES) { actual -> check("${w[1]} ${w[2]}", actual, false) }
+            else -> expectState(world, w[1], TRIES, { it == w[2] }) { actual -> check("${w[1]} ${w[2]}", actual, false) }
         }
     }
 
@@ -246,25 +247,25 @@
         }
     }
 
-    private fun expectServed(world: World, job: String, tries: Int, wrong: (String) -> Unit) {
-        world.poll(job) { status, state ->
-            val isServed = state == "done" || (state == "withdrawn" && world.rules.isCancelled(job)) || world.rules.runsWhole(job)
-            if (status != 200 && status != 404 && tries > 1) expectServed(world, job, tries - 1, wrong) else if (!isServed) wrong("$status $state")
-        }
-    }
-
     /** A poll that gets no answer is repeated, as users do. */
-    private fun expectState(world: World, job: String, wanted: String, tries: Int, wrong: (String) -> Unit) {
+    private fun expectState(world: World, job: String, tries: Int, isRight: (String) -> Boolean, wrong: (String) -> Unit) {
         world.poll(job) { status, state ->
             val actual = state ?: status.toString()
             when {
-                actual == wanted -> Unit
-                state == null && status != 404 && tries > 1 -> expectState(world, job, wanted, tries - 1, wrong)
+                isRight(actual) -> Unit
+                state == null && status != 404 && tries > 1 -> expectState(world, job, tries - 1, isRight, wrong)
                 else -> wrong(actual)
             }
         }
     }
 
+    private fun isServed(world: World, job: String, state: String) = when (state) {
+        WorkStates.DONE -> true
+        WorkStates.WITHDRAWN -> world.rules.isCancelled(job)
+        WorkStates.PENDING, WorkStates.RUNNING -> world.rules.runsWhole(job)
+        else -> false
+    }
+
     private fun body(words: List<String>): String {
         val spec = Users.SUBMISSION.encodeToJsonElement(WorkRequest.serializer(), spec(words.filter { ':' !in it })) as JsonObject
         val without = words.filter { it.startsWith("without=") }.map { it.substringAfter('=') }
