--- /dev/null
+++ b/src/test/kotlin/ledgearch/world/Users.kt
@@ -0,0 +1,123 @@
+package ledgearch.world
+
+import ledgearch.http.Reply
+import ledgearch.wire.WireJson
+import ledgearch.wire.WorkRequest
+import ledgearch.wire.WorkStatus
+
+/** The users: they submit, ask and cancel as the protocol has it, and some of them look closely. */
+internal class Users(private val world: World) {
+    private val clock get() = world.clock
+    private val rules get() = world.rules
+
+    /** Share of the accepted, ended and cancelled jobs about which all controllers are asked at once, again and again. */
+    var closeLooks = 0.0
+
+    /** Share of the jobs that end which are cancelled at that moment. */
+    var cancelsAtEnd = 0.0
+
+    fun submit(spec: WorkRequest) {
+        rules.submitted[spec.ref] = spec
+        val until = clock.now + PATIENCE_MS
+        fun attempt() {
+            submitOnce(spec, null) { status ->
+                if (status !in FINAL_ANSWERS && clock.now < until) clock.after(1000) { attempt() }
+            }
+        }
+        attempt()
+    }
+
+    private fun submitOnce(spec: WorkRequest, node: String?, answered: (Int) -> Unit) {
+        val askedAt = clock.now
+        ask("POST", "/work", WireJson.encodeToString(WorkRequest.serializer(), spec), node) { reply ->
+            val isNew = !rules.isAccepted(spec.ref)
+            rules.submitAnswered(spec.ref, reply.status, stateIn(reply), askedAt)
+            answered(reply.status)
+            if (isNew && rules.isAccepted(spec.ref)) lookClosely(spec.ref)
+        }
+    }
+
+    fun withdraw(job: String, node: String? = null) {
+        val until = clock.now + PATIENCE_MS
+        fun attempt() {
+            rules.cancelAsked(job)
+            val askedAt = clock.now
+            ask("POST", "/work/$job/withdraw", "", node) { reply ->
+                rules.withdrawAnswered(job, reply.status, stateIn(reply), askedAt)
+                if (reply.status == 200) lookClosely(job)
+                if (reply.status != 200 && reply.status != 404 && clock.now < until) clock.after(1000) { attempt() }
+            }
+        }
+        attempt()
+    }
+
+    fun poll(job: String, node: String? = null, answer: (Int, String?) -> Unit) {
+        val askedAt = clock.now
+        ask("GET", "/work/$job", null, node) { reply ->
+            rules.told(job, reply.status, stateIn(reply), askedAt)
+            answer(reply.status, stateIn(reply))
+        }
+    }
+
+    /** The last task of [job] has just ended. */
+    fun ended(job: String) {
+        if (cancelsAtEnd > 0 && world.random.nextDouble() < cancelsAtEnd) clock.after(world.random.nextLong(AT_END_MS)) { withdraw(job) }
+        lookClosely(job)
+    }
+
+    private fun lookClosely(job: String) {
+        if (closeLooks > 0 && world.random.nextDouble() < closeLooks) look(job, LOOK_MS)
+    }
+
+    /** For so long all controllers are asked about [job] every few ms, and some of the questions are repeated submissions. */
+    fun look(job: String, forMs: Long) {
+        val until = clock.now + forMs
+        fun again() {
+            for (node in world.nodes) {
+                if (!node.up) continue
+                val spec = rules.submitted[job]
+                if (spec != null && world.random.nextInt(REPEATS) == 0) submitOnce(spec, node.name) { } else poll(job, node.name) { _, _ -> }
+            }
+            if (clock.now < until) clock.after(1 + world.random.nextLong(LOOK_EVERY_MS)) { again() }
+        }
+        again()
+    }
+
+    /** [count] jobs that run are cancelled within a fifth of a second; with [hangMs], some of their machines hang so long. */
+    fun cancelNow(count: Int, hangMs: Long) {
+        val running = rules.submitted.keys.filter { world.running(it) > 0 && !rules.isCancelled(it) }.shuffled(world.random).take(count)
+        var hangs = MOST_HANGS
+        for (job in running) {
+            if (hangMs > 0 && hangs-- > 0) world.workersOf(job).firstOrNull()?.let { m ->
+                m.hanging = true
+                clock.after(hangMs) { m.hanging = false }
+            }
+            clock.after(world.random.nextLong(200)) { withdraw(job) }
+        }
+    }
+
+    private fun stateIn(reply: Reply) =
+        if (reply.status == 200 || reply.status == 201) WireJson.decodeFromString(WorkStatus.serializer(), reply.body).status else null
+
+    fun ask(method: String, target: String, body: String?, node: String? = null, answer: (Reply) -> Unit) {
+        val live = world.nodes.filter { if (node == null) it.healthy else it.name == node && it.up }
+        var answered = false
+        fun finish(reply: Reply) {
+            if (answered) return
+            answered = true
+            answer(reply)
+        }
+        clock.after(5000) { finish(Reply.NONE) }
+        if (live.isNotEmpty()) world.send("user", live[world.random.nextInt(live.size)].name, method, target, body) { finish(it) }
+    }
+
+    private companion object {
+        const val PATIENCE_MS = 60_000L
+        val FINAL_ANSWERS = setOf(200, 201, 400, 422)
+        const val AT_END_MS = 60L
+        const val LOOK_MS = 250L
+        const val LOOK_EVERY_MS = 12L
+        const val REPEATS = 4
+        const val MOST_HANGS = 8
+    }
+}
