A leader stops at a newer grant also while it renews its token

Cause: Election.grantChanged left the grant alone while a renewal was under way, so a deposed leader went on for as long as the renewal and the reading after its failed comparison took, learnt of jobs accepted under the newer grant from the watch, and started them as its own. The next leader starts them too, or calls them withdrawn since nothing of them can be anywhere.

Change: the grant in the watch is compared at once, always.

--- a/src/main/kotlin/ledgearch/leader/Election.kt
+++ b/src/main/kotlin/ledgearch/leader/Election.kt
@@ -87,9 +87,12 @@
         if (holding && !bumping && token == under) compareGrant()
     }
 
-    /** The job store has news of the grant. */
+    /**
+     * The job store has news of the grant. A leader stops at a newer grant before it learns of anything that was accepted
+     * under it, also while it renews its token: what comes after that grant is the next leader's to start.
+     */
     fun grantChanged() {
-        if (!bumping) compareJobStore()
+        compareJobStore()
         claimAt = now.steady + random.nextLong(Tuning.ELECTION_SPREAD_MS)
     }
 
@@ -189,10 +192,16 @@
         stamp: Long,
     ): Boolean {
         if (grant?.node != node || grant.life != life || grant.over != token) return false
+        renewedTo(stamp)
+        return true
+    }
+
+    /** This leader's token is [stamp] from now on; a renewal that is still under way has nothing more to tell. */
+    private fun renewedTo(stamp: Long) {
         log.info("block 0: token {} replaces {}", stamp, token)
         token = stamp
+        bumping = false
         listener.granted(token, fresh = false)
-        return true
     }
 
     /** A new token for the same leader: fences direct commands that were lost on their way. */
@@ -207,9 +216,7 @@
             when (result) {
                 is TxnResult.Ok -> {
                     if (superseded(result.edition)) return@txn lose("another grant was made")
-                    log.info("block 0: token {} replaces {}", result.edition, old)
-                    token = result.edition
-                    listener.granted(token, fresh = false)
+                    renewedTo(result.edition)
                 }
 
                 // An earlier try may have been carried out late: the grant itself tells.
