A command that fails costs only itself; an error ends the process

Change: the controller guards each command and each later step by itself; the owner's loop never ends without the process, which halts with exit code 5 and one log line after an Error anywhere; the job store counts a reading as failed until what it brought is in the copy. The simulation still fails on any exception.

--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -40,7 +40,8 @@
             removeOnCancelPolicy =
                 true
         }
-    private val failures = CoroutineExceptionHandler { _, e -> log.error("unexpected failure", e) }
+    private val crash = Crash { code -> Runtime.getRuntime().halt(code) }
+    private val failures = CoroutineExceptionHandler { _, e -> crash.uncaught(e) }
     private val scope = CoroutineScope(executor.asCoroutineDispatcher() + SupervisorJob() + failures)
     private val group = AsynchronousChannelGroup.withThreadPool(executor)
     private val client = HttpClient(group, (settings.deployment.quota.fdLimit * Tuning.OUTGOING_SHARE).toInt())
@@ -61,7 +62,7 @@
         val server = HttpServer(scope, group, sockets, { it.path == "/checkin" }, staleMs, ::handle)
         checkFree(settings.listen)
         mesh.listen(settings.meshAddress)
-        scope.launch { own() }
+        scope.launch { OwnerLoop(queue, crash, ::work).run() }
         scope.launch { listenWhenReady(server) }
         scope.launch {
             while (true) {
@@ -110,20 +111,13 @@
         return answer.await()
     }
 
-    private suspend fun own() {
-        val batch = ArrayList<Command>(Tuning.BATCH)
-        while (true) {
-            batch.clear()
-            queue.take(batch)
-            val began = System.nanoTime()
-            try {
-                controller.run(began / 1_000_000, System.currentTimeMillis(), batch, behind = queue.waiting > 0)
-            } catch (e: RuntimeException) {
-                // One bad message must not end the service; whoever sent it gets no answer and comes back.
-                log.error("a command failed", e)
-            }
-            controller.worked((System.nanoTime() - began) / 1000, queue.waiting)
-        }
+    private fun work(
+        batch: List<Command>,
+        behind: Boolean,
+    ) {
+        val began = System.nanoTime()
+        controller.run(began / 1_000_000, System.currentTimeMillis(), batch, behind)
+        controller.worked((System.nanoTime() - began) / 1000, queue.waiting)
     }
 
     /** More users ask than can be answered in time: each is told at once when to come back. */
--- a/src/main/kotlin/ledgearch/cli/Main.kt
+++ b/src/main/kotlin/ledgearch/cli/Main.kt
@@ -26,7 +26,8 @@
   --help                      print this help
 
 LOG_LEVEL (error, warn, info, debug) sets the amount of logging on standard error.
-exit codes: 0 fine, 2 wrong usage, 3 settings can't be used, 4 an address can't be listened on"""
+exit codes: 0 fine, 2 wrong usage, 3 settings can't be used, 4 an address can't be listened on,
+5 the process could not go on (no memory, for one) and is to be started again"""
 
 private val OPTIONS =
     Options()
--- /dev/null
+++ b/src/main/kotlin/ledgearch/cli/OwnerLoop.kt
@@ -0,0 +1,30 @@
+package ledgearch.cli
+
+import ledgearch.Tuning
+import ledgearch.core.Command
+
+/** Takes the owner's commands from its queue in batches; it ends only with the process. */
+internal class OwnerLoop(
+    private val queue: OwnerQueue,
+    private val crash: Crash,
+    /** Works off a batch; the second argument tells whether more commands wait. */
+    private val work: (List<Command>, Boolean) -> Unit,
+) {
+    /** Whatever leaves the loop ends the process: without its owner it would only look alive. */
+    suspend fun run() {
+        try {
+            workForEver()
+        } catch (e: Throwable) {
+            crash.end(e)
+        }
+    }
+
+    private suspend fun workForEver() {
+        val batch = ArrayList<Command>(Tuning.BATCH)
+        while (true) {
+            batch.clear()
+            queue.take(batch)
+            work(batch, queue.waiting > 0)
+        }
+    }
+}
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -60,6 +60,7 @@
     life: Long,
     nanos: () -> Long,
     finalsKept: Long = Tuning.FINAL_CACHE,
+    private val stepFailed: (RuntimeException) -> Unit = ::logFailure,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
     private val node = settings.node
@@ -101,45 +102,52 @@
         now.steady = steadyMs
         now.wall = wallMs
         stalls.behind = behind
-        for (command in commands) {
-            when (command) {
-                is Command.Serve -> {
-                    metrics.spend(
-                        if (command.request.path ==
-                            "/checkin"
-                        ) {
-                            "reports"
-                        } else {
-                            "requests"
-                        },
-                    ) { serve(command.request, command.respond) }
-                }
+        for (command in commands) guarded { carryOut(command) }
+        guarded { jobStore.drive() }
+        guarded { election.drive() }
+        guarded { fleet.driveCatalog(election.holding) }
+        guarded { metrics.spend("intake") { intake.drive() } }
+        guarded { leader.drive() }
+        guarded { tellProgress() }
+        guarded { metrics.spend("state") { state.pump() } }
+        logLoad()
+    }
 
-                is Command.Answered -> {
-                    metrics.spend("answers") { command.done(command.reply) }
-                }
+    private fun carryOut(command: Command) {
+        when (command) {
+            is Command.Serve -> {
+                val kind = if (command.request.path == "/checkin") "reports" else "requests"
+                metrics.spend(kind) { serve(command.request, command.respond) }
+            }
 
-                is Command.News -> {
-                    heard(command.news)
-                }
+            is Command.Answered -> {
+                metrics.spend("answers") { command.done(command.reply) }
+            }
 
-                is Command.PeerRefused -> {
-                    members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
-                }
+            is Command.News -> {
+                heard(command.news)
+            }
 
-                Command.Tick -> {
-                    stalls.ticked()
-                }
+            is Command.PeerRefused -> {
+                members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
+            }
+
+            Command.Tick -> {
+                stalls.ticked()
             }
         }
-        jobStore.drive()
-        election.drive()
-        fleet.driveCatalog(election.holding)
-        metrics.spend("intake") { intake.drive() }
-        leader.drive()
-        tellProgress()
-        metrics.spend("state") { state.pump() }
-        logLoad()
+    }
+
+    /**
+     * An exception ends [step] alone. The commands after it are carried out: one of them may be the answer without
+     * which this node would wait for ever. Errors, such as no memory, are not caught: after one the process ends.
+     */
+    private inline fun guarded(step: () -> Unit) {
+        try {
+            step()
+        } catch (e: RuntimeException) {
+            stepFailed(e)
+        }
     }
 
     /** For finding out from a log what a busy node is busy with. */
@@ -318,3 +326,6 @@
         ) = election.verified(sentAt, under)
     }
 }
+
+/** Whoever sent what could not be carried out gets no answer and comes back. */
+private fun logFailure(e: RuntimeException) = LoggerFactory.getLogger("ledgearch.core").error("a step failed", e)
--- a/src/main/kotlin/ledgearch/core/JobStore.kt
+++ b/src/main/kotlin/ledgearch/core/JobStore.kt
@@ -165,7 +165,7 @@
         val prefixes = listOf(Keys.CATALOG, Keys.JOBS, Keys.GRANTS)
         state.list(prefixes[prefix], since, Lane.VITAL) { result ->
             if (result !is ReadResult.Found) {
-                fail()
+                takeIn()
                 return@list
             }
             val page = result.value
@@ -187,6 +187,7 @@
     }
 
     private fun install(listing: Listing) {
+        takeIn()
         val listed = listing.jobs.mapTo(HashSet()) { it.key.removePrefix(Keys.JOBS) }
         // Jobs that are open here and not listed are over, or were accepted after the listing began.
         val gone = jobs.values.filter { it.id !in listed && it.stamp <= listing.firstEdition }
@@ -206,7 +207,7 @@
         revision = listing.firstEdition
         completeAt = listing.askedAt
         loaded = true
-        reading = false
+        retryAt = Long.MIN_VALUE
         log.info("read {} open jobs at revision {}", jobs.size, revision)
         drive()
     }
@@ -214,30 +215,35 @@
     private fun watch() {
         val askedAt = now.steady
         state.watch(Keys.WATCHED, revision) { result ->
+            takeIn()
             when (result) {
                 is ReadResult.Found -> {
                     result.value.news.forEach(::apply)
                     if (result.value.edition > revision) revision = result.value.edition
                     completeAt = askedAt
-                    reading = false
+                    retryAt = Long.MIN_VALUE
                     drive()
                 }
 
                 ReadResult.Absent -> {
                     log.warn("the watch fell behind; reading all keys again")
                     loaded = false
-                    reading = false
+                    retryAt = Long.MIN_VALUE
                     drive()
                 }
 
                 ReadResult.Failed -> {
-                    fail()
+                    Unit
                 }
             }
         }
     }
 
-    private fun fail() {
+    /**
+     * The reading is over. Until what it brought is in the copy it counts as failed, so that an exception on the way
+     * does not leave this node with an old copy for ever.
+     */
+    private fun takeIn() {
         reading = false
         retryAt = now.steady + Tuning.STATE_RETRY_MS
     }
--- a/src/test/kotlin/ledgearch/simulation/Simulation.kt
+++ b/src/test/kotlin/ledgearch/simulation/Simulation.kt
@@ -154,6 +154,8 @@
                         clock.now
                     },
                     finalsKept,
+                    // Here no exception is ever expected: the scenario fails.
+                    stepFailed = { throw it },
                 )
             tick(mine)
         }
