A leader that is behind counts no silence; scenarios of slow controllers

Its delay was told by three measures (gap between ticks over 700 ms, over 200 ms, a full batch); a queue of constant length makes no gap, however old what waits in it. Change: ticks carry the time at which they were put in line, so one measure tells the delay: the time since the next tick was due to be seen. Over 200 ms, and for 1 s after it, silence does not count (silent, missing, unreached and unheard machines), a time-out proves nothing and passes are seldom; silence before and after still counts, where a late tick made all of it begin anew. The delay is known at the begin of a batch: time-outs worked off before the late tick counted as failed probes. StallCompensationTest: the case of the flag 'behind', which is gone, is replaced by ticks that come regularly and have waited long; cases for missing ticks and for counted silence are new. Step slow-node: each command of a controller takes so long, the others wait and are worked off in batches.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -307,9 +307,6 @@
      */
     const val UNHEARD_MS = 30_000L
 
-    /** ms. A gap in the owner's own time that makes all silence look longer than it was. */
-    const val OWN_PAUSE_MS = 700L
-
     /** ms. A machine that refused a start, or a job unknown to its worker, gets the next one after this. */
     const val REFUSED_MS = 1_000L
 
@@ -363,11 +360,17 @@
     /** ms. A process that has not read the state service by then listens all the same, and tells callers so. */
     const val LISTEN_WAIT_MS = 3_000L
 
-    /** ms. A tick that comes so late shows that the node does not keep up: four ticks were due. */
-    const val BUSY_TICK_MS = 200L
+    /**
+     * ms. A node whose next tick is so late is behind. A message passes the same thread some four times on its way in
+     * and out, so the answer to a probe is then late by as much as the probe may take.
+     */
+    const val BEHIND_MS = 200L
+
+    /** ms. A node counts as behind for so long after it was: what waits in its sockets is read by then. */
+    const val CATCH_UP_MS = 1_000L
 
-    /** ms. A node counts as busy for so long after such a tick. */
-    const val BUSY_MS = 1_000L
+    /** ms. How long a node knows when it was behind: longer than any silence is looked at. */
+    const val STALLS_KEPT_MS = 180_000L
 
     /** ms. Between two looks for silent machines: a fraction of a report interval. */
     const val WATCH_SILENCE_MS = 250L
@@ -392,7 +395,7 @@
     /** Machines. The paper finds 10 to 15 enough for any size of system. */
     const val BUDDIES = 10
 
-    /** ms. Between two passes of placement, and while commands wait: starts are asked for within a second. */
+    /** ms. Between two passes of placement, and while the node is behind: starts are asked for within a second. */
     const val PASS_MS = 40L
     const val BEHIND_PASS_MS = 200L
 
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -111,12 +111,9 @@
         return answer.await()
     }
 
-    private fun work(
-        batch: List<Command>,
-        behind: Boolean,
-    ) {
+    private fun work(batch: List<Command>) {
         val began = System.nanoTime()
-        controller.run(began / 1_000_000, System.currentTimeMillis(), batch, behind)
+        controller.run(began / 1_000_000, System.currentTimeMillis(), batch)
         controller.worked((System.nanoTime() - began) / 1000, queue.waiting)
     }
 
--- a/src/main/kotlin/ledgearch/cli/OwnerLoop.kt
+++ b/src/main/kotlin/ledgearch/cli/OwnerLoop.kt
@@ -7,8 +7,8 @@
 internal class OwnerLoop(
     private val queue: OwnerQueue,
     private val crash: Crash,
-    /** Works off a batch; the second argument tells whether more commands wait. */
-    private val work: (List<Command>, Boolean) -> Unit,
+    /** Works off a batch. */
+    private val work: (List<Command>) -> Unit,
 ) {
     /** Whatever leaves the loop ends the process: without its owner it would only look alive. */
     suspend fun run() {
@@ -24,7 +24,7 @@
         while (true) {
             batch.clear()
             queue.take(batch)
-            work(batch, queue.waiting > 0)
+            work(batch)
         }
     }
 }
--- a/src/main/kotlin/ledgearch/cli/OwnerQueue.kt
+++ b/src/main/kotlin/ledgearch/cli/OwnerQueue.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.selects.select
 import ledgearch.Tuning
 import ledgearch.core.Command
+import ledgearch.core.Metrics
 
 /**
  * What waits for the owner, in two lines. Workers' reports, answers and time come first and hold their senders back
@@ -24,7 +25,8 @@
 
     /** Time that has passed is told again soon: a tick finds room or is left out. */
     fun tick() {
-        if (first.trySend(Command.Tick).isSuccess) waiting++
+        val tick = Command.Tick(System.nanoTime() / Metrics.NANOS_PER_MS)
+        if (first.trySend(tick).isSuccess) waiting++
     }
 
     /** Whether there was room for a user's request. */
--- a/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
+++ b/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
@@ -139,7 +139,7 @@
                 }
             }
             // A time-out of our own, while this node was behind with its work, says nothing about the machine.
-            if (answer == null && stalls.lateAt < sentAt) missed(m)
+            if (answer == null && !stalls.wasBehindSince(sentAt)) missed(m)
             if (answer != null && isHere(m)) heard(m, answer)
             if (list.size == Tuning.ORDERS_AT_ONCE) want(m)
         }
@@ -212,7 +212,7 @@
             m.pushing = false
             probesOpen--
             if (answer == null) {
-                if (stalls.lateAt < sentAt) {
+                if (!stalls.wasBehindSince(sentAt)) {
                     m.probesFailed++
                     if (!m.confirmed) missed(m)
                 }
@@ -227,7 +227,7 @@
      * A machine that a new leader has just read reports within an interval, and the answer renews its lease, as that of
      * a probe does not. While this node does not keep up, probes would only delay the answers to reports.
      */
-    private fun reportsByItself(m: Machine) = stalls.isBusy && m.inherited && now.steady - m.knownSince < dueMs
+    private fun reportsByItself(m: Machine) = stalls.isBehind && m.inherited && now.steady - m.knownSince < dueMs
 
     private fun parse(reply: Reply): CheckIn? =
         try {
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -39,8 +39,10 @@
         val address: String,
     ) : Command
 
-    /** Time has passed. */
-    data object Tick : Command
+    /** Time has passed; [queuedAt]: when this was put in line (steady ms). */
+    class Tick(
+        val queuedAt: Long,
+    ) : Command
 
     class Answered(
         val reply: Reply,
@@ -74,7 +76,7 @@
     private val election: Election = Election(node, life, state, { jobStore }, now, random, ElectionEvents())
     private val recordWriter = RecordWriter(state, election, jobStore, now, settings.deployment.state.safeValueBytes)
     private val stalls = StallCompensation(now, metrics)
-    private val fleet: Fleet = Fleet(settings, metered, { election }, { jobStore }, now, { recordWriter })
+    private val fleet: Fleet = Fleet(settings, metered, { election }, { jobStore }, now, stalls) { recordWriter }
     private val leader = Leader(settings, state, metered, election, jobStore, now, recordWriter, fleet, metrics, stalls)
     private val intake = Intake(settings, jobStore, state, GrantEvents(), now)
 
@@ -92,16 +94,15 @@
         recordWriter.onClosed = { job, record -> jobStore.rememberFinal(job.id, record) }
     }
 
-    /** One batch: all commands, then whatever follows from them. [behind]: more commands wait already. */
+    /** One batch: all commands, then whatever follows from them. */
     fun run(
         steadyMs: Long,
         wallMs: Long,
         commands: List<Command>,
-        behind: Boolean = false,
     ) {
         now.steady = steadyMs
         now.wall = wallMs
-        stalls.behind = behind
+        stalls.began()
         for (command in commands) guarded { carryOut(command) }
         guarded { jobStore.drive() }
         guarded { election.drive() }
@@ -132,8 +133,8 @@
                 members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
             }
 
-            Command.Tick -> {
-                stalls.ticked()
+            is Command.Tick -> {
+                stalls.ticked(command.queuedAt)
             }
         }
     }
--- a/src/main/kotlin/ledgearch/core/FailureDetector.kt
+++ b/src/main/kotlin/ledgearch/core/FailureDetector.kt
@@ -94,7 +94,7 @@
     ) = confirmed > all * Tuning.MOST ||
         (
             confirmed > all * Tuning.HEARD_SHARE &&
-                now.steady - maxOf(stalls.lateAt, election.grantedAt) > (reportMs * Tuning.CUT_REPORTS).toLong()
+                stalls.heedfulSince(election.grantedAt) > (reportMs * Tuning.CUT_REPORTS).toLong()
         )
 
     /**
@@ -105,7 +105,7 @@
         val lost =
             dispatcher.broken.filter {
                 !it.releasing && !mayComeBack(it) && it.probesFailed >= Tuning.PROBES &&
-                    now.steady - it.brokenSince > (reportMs * Tuning.LOST_REPORTS).toLong()
+                    stalls.heedfulSince(it.brokenSince) > (reportMs * Tuning.LOST_REPORTS).toLong()
             }
         val mostBroken = dispatcher.broken.size > machines.size * Tuning.MOST
         for (m in lost) {
@@ -120,10 +120,11 @@
         }
     }
 
+    /** Silence counts only while no report may wait here unread. */
     private fun silentFor(
         m: Machine,
         reports: Double,
-    ) = now.steady - maxOf(m.reportedAt, stalls.lateAt, election.grantedAt, partitionedZones.backAt(m.hall)) >
+    ) = stalls.heedfulSince(maxOf(m.reportedAt, election.grantedAt, partitionedZones.backAt(m.hall))) >
         (reportMs * reports).toLong()
 
     private fun watch() {
--- a/src/main/kotlin/ledgearch/core/StallCompensation.kt
+++ b/src/main/kotlin/ledgearch/core/StallCompensation.kt
@@ -3,50 +3,83 @@
 import ledgearch.Tuning
 
 /**
- * Whether this node keeps up. While it is behind, reports and answers wait to be read here: nobody was silent, and a
- * time-out may be this node's own.
+ * How far this node is behind with its own work, by one measure: the time since it was due to see the next tick. A tick
+ * waits in the same line as reports and answers, so it is late by the time that they wait, and by the time for which
+ * the process stands still. While this node is behind, and for a moment after it, reports and answers may wait here
+ * unread: nobody was silent, and a time-out may be this node's own.
  */
 internal class StallCompensation(
     private val now: Now,
     private val metrics: Metrics,
 ) {
-    private var tickAt = 0L
+    /** A time (steady ms) in which this node was behind. */
+    private class Stall(
+        val from: Long,
+        var until: Long,
+    )
+
+    private val stalls = ArrayDeque<Stall>()
+
+    /** When the last tick seen was put in line, and when it was seen; 0 before the first. */
+    private var tickQueuedAt = 0L
+    private var tickSeenAt = 0L
     private var passAt = Long.MIN_VALUE / 2
 
-    /** Steady ms when this node was last seen to be behind. */
-    var lateAt = Long.MIN_VALUE / 2
-        private set
-
-    /** A tick has come; ticks are due every [Tuning.TICK_MS]. */
-    fun ticked() {
-        if (tickAt != 0L) {
-            val gap = now.steady - tickAt
-            metrics.ticked(gap)
-            if (gap > Tuning.OWN_PAUSE_MS) lateAt = now.steady
-            if (gap > Tuning.BUSY_TICK_MS) busyAt = now.steady
-        }
-        tickAt = now.steady
+    /** ms that the last pass took. */
+    private var passTook = 0L
+
+    /** A batch begins: before anything of it is taken for a time-out, this node knows how late it is. */
+    fun began() {
+        if (tickQueuedAt != 0L && now.steady - tickQueuedAt - Tuning.TICK_MS > Tuning.BEHIND_MS) addStall()
+    }
+
+    /** A tick has come that was put in line at [queuedAt] (steady ms); ticks are due every [Tuning.TICK_MS]. */
+    fun ticked(queuedAt: Long) {
+        began()
+        if (tickSeenAt != 0L) metrics.ticked(now.steady - tickSeenAt)
+        tickSeenAt = now.steady
+        tickQueuedAt = queuedAt
+        began()
     }
 
-    private var busyAt = Long.MIN_VALUE / 2
+    private fun addStall() {
+        val until = now.steady + Tuning.CATCH_UP_MS
+        val last = stalls.lastOrNull()
+        if (last != null &&
+            tickQueuedAt <= last.until
+        ) {
+            last.until = until
+        } else {
+            stalls.addLast(Stall(tickQueuedAt, until))
+        }
+        while (now.steady - stalls.first().until > Tuning.STALLS_KEPT_MS) stalls.removeFirst()
+    }
 
-    /** More is to be done than this node keeps up with: ticks were late a moment ago. */
-    val isBusy: Boolean get() = behind || now.steady - busyAt < Tuning.BUSY_MS
+    /** This node does not keep up, or did not a moment ago. */
+    val isBehind: Boolean get() = wasBehindSince(now.steady)
 
-    /** The last batch was full: more commands wait. */
-    var behind = false
+    /** This node was behind at some time from [time] (steady ms) on. */
+    fun wasBehindSince(time: Long): Boolean = stalls.lastOrNull().let { it != null && it.until > time }
 
-    /** ms that the last pass took. */
-    private var passTook = 0L
+    /** ms since [time] (steady ms) in which this node kept up: who was silent for those was not heard here. */
+    fun heedfulSince(time: Long): Long {
+        var behind = 0L
+        for (i in stalls.indices.reversed()) {
+            val stall = stalls[i]
+            if (stall.until <= time) break
+            behind += minOf(stall.until, now.steady) - maxOf(stall.from, time)
+        }
+        return now.steady - time - behind
+    }
 
     /**
-     * At most one pass in a while, more seldom while commands wait and after one that took long: a pass for every batch
-     * would keep the node behind, and leave workers without answers.
+     * At most one pass in a while, more seldom while this node is behind and after one that took long: a pass for every
+     * batch would keep it behind, and leave workers without answers.
      */
     fun mayPass(): Boolean {
         val pause =
             maxOf(
-                if (behind) Tuning.BEHIND_PASS_MS else Tuning.PASS_MS,
+                if (isBehind) Tuning.BEHIND_PASS_MS else Tuning.PASS_MS,
                 minOf(passTook * Tuning.PASS_REST, Tuning.MOST_PASS_MS),
             )
         if (now.steady - passAt < pause) return false
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -11,6 +11,7 @@
 import ledgearch.core.Now
 import ledgearch.core.RecordWriter
 import ledgearch.core.Room
+import ledgearch.core.StallCompensation
 import ledgearch.core.Transport
 import ledgearch.http.Reply
 import ledgearch.leader.Election
@@ -31,6 +32,7 @@
     private val election: () -> Election,
     private val jobStore: () -> JobStore,
     private val now: Now,
+    private val stalls: StallCompensation,
     private val recordWriter: () -> RecordWriter,
 ) {
     private data class Pool(
@@ -231,7 +233,7 @@
         stove: ListedStove,
     ) {
         val since = unheard.getOrPut(stove.ref) { now.steady }
-        if (now.steady - since < Tuning.UNHEARD_MS || leader.isCutOff(stove.hall)) return
+        if (stalls.heedfulSince(since) < Tuning.UNHEARD_MS || leader.isCutOff(stove.hall)) return
         log.info("machine {} is up and does not report; it is returned", stove.ref)
         unheard.remove(stove.ref)
         booting.remove(stove.ref)
--- a/src/test/kotlin/ledgearch/FailingCommandsTest.kt
+++ b/src/test/kotlin/ledgearch/FailingCommandsTest.kt
@@ -106,7 +106,7 @@
         val codes = ArrayList<Int>()
         val queue = OwnerQueue()
         queue.tick()
-        runBlocking { OwnerLoop(queue, Crash { codes.add(it) }) { _, _ -> throw failure }.run() }
+        runBlocking { OwnerLoop(queue, Crash { codes.add(it) }) { throw failure }.run() }
         return codes
     }
 
--- a/src/test/kotlin/ledgearch/StallCompensationTest.kt
+++ b/src/test/kotlin/ledgearch/StallCompensationTest.kt
@@ -3,39 +3,74 @@
 import ledgearch.core.Metrics
 import ledgearch.core.Now
 import ledgearch.core.StallCompensation
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
-/** When a node knows that it does not keep up. */
+/** When a node knows that it does not keep up, and what silence it counts. */
 internal class StallCompensationTest {
     private val now = Now()
     private val stalls = StallCompensation(now, Metrics(now) { 0L })
 
-    private fun tickAt(ms: Long) {
+    /** A tick is seen at [ms] that waited for [waited] ms. */
+    private fun tickAt(
+        ms: Long,
+        waited: Long = 0,
+    ) {
         now.steady = ms
-        stalls.ticked()
+        stalls.ticked(ms - waited)
+    }
+
+    private fun ticksInTime(
+        from: Long,
+        until: Long,
+        waited: Long = 0,
+    ) {
+        for (ms in from..until step Tuning.TICK_MS) tickAt(ms, waited)
     }
 
     @Test
-    fun `ticks in time are no sign of being busy`() {
-        for (tick in 1..20L) tickAt(tick * Tuning.TICK_MS)
-        assertFalse(stalls.isBusy)
+    fun `ticks in time are no sign of being behind`() {
+        ticksInTime(1_000, 2_000)
+        assertFalse(stalls.isBehind)
+        assertEquals(900, stalls.heedfulSince(1_100))
     }
 
     @Test
-    fun `a late tick shows a busy node for a while`() {
+    fun `a late tick shows a node that is behind for a while`() {
         tickAt(1_000)
-        tickAt(1_000 + Tuning.BUSY_TICK_MS + 1)
-        assertTrue(stalls.isBusy)
-        now.steady += Tuning.BUSY_MS
-        assertFalse(stalls.isBusy)
+        tickAt(1_000 + Tuning.TICK_MS + Tuning.BEHIND_MS + 1)
+        assertTrue(stalls.isBehind)
+        now.steady += Tuning.CATCH_UP_MS
+        assertFalse(stalls.isBehind)
+    }
+
+    @Test
+    fun `ticks that come regularly show it too when each has waited long`() {
+        ticksInTime(1_000, 3_000, waited = 600)
+        assertTrue(stalls.isBehind)
+        assertEquals(0, stalls.heedfulSince(1_500))
     }
 
     @Test
-    fun `commands that wait show it too`() {
+    fun `a tick that is missing shows it before it comes`() {
         tickAt(1_000)
-        stalls.behind = true
-        assertTrue(stalls.isBusy)
+        now.steady = 3_000
+        stalls.began()
+        assertTrue(stalls.isBehind)
+        assertTrue(stalls.wasBehindSince(2_900))
+    }
+
+    @Test
+    fun `silence counts as long as the node keeps up, before and after it was behind`() {
+        ticksInTime(1_000, 5_000)
+        tickAt(8_000)
+        ticksInTime(8_050, 20_000)
+        val behind = 8_000 + Tuning.CATCH_UP_MS - 5_000
+        assertEquals(19_000 - behind, stalls.heedfulSince(1_000))
+        assertEquals(20_000 - 8_000 - Tuning.CATCH_UP_MS, stalls.heedfulSince(7_000))
+        assertEquals(10_000, stalls.heedfulSince(10_000))
+        assertFalse(stalls.wasBehindSince(10_000))
     }
 }
--- a/src/test/kotlin/ledgearch/simulation/ControllerSteps.kt
+++ b/src/test/kotlin/ledgearch/simulation/ControllerSteps.kt
@@ -1,6 +1,6 @@
 package ledgearch.simulation
 
-/** Processes of controllers that end, start and freeze. */
+/** Processes of controllers that end, start, freeze and are slow. */
 internal class ControllerSteps(
     simulation: Simulation,
 ) : StepFamily(simulation) {
@@ -12,8 +12,15 @@
             "start-all" to { startAll() },
             "back" to ::restart,
             "freeze" to { step -> node(step.words[1]).freeze(step.milliseconds(3)) },
+            "slow-node" to ::slowDown,
         )
 
+    /** slow-node NODE|all MS until S: each command takes so long, and the others wait meanwhile. */
+    private fun slowDown(step: Step) {
+        val nodes = if (step.words[1] == "all") simulation.nodes else listOf(node(step.words[1]))
+        nodes.forEach { it.slowDown(step.words[2].toLong(), step.milliseconds(4)) }
+    }
+
     private fun start(step: Step) {
         simulation.nodes.first { it.name == step.words[1] }.start()
     }
--- a/src/test/kotlin/ledgearch/simulation/Simulation.kt
+++ b/src/test/kotlin/ledgearch/simulation/Simulation.kt
@@ -164,11 +164,13 @@
             life++
             controller = null
             frozenUntil = 0L
+            waiting.clear()
+            working = false
         }
 
         private fun tick(mine: Int) {
             if (mine != life) return
-            run(Command.Tick)
+            run(Command.Tick(clock.now))
             if (controller?.countsHold() ==
                 false
             ) {
@@ -187,20 +189,46 @@
             clock.at(until) {
                 val waiting = held.toList()
                 held.clear()
-                if (mine == life) controller?.run(clock.now, WALL + clock.now, waiting, behind = true)
+                if (mine == life) controller?.run(clock.now, WALL + clock.now, waiting)
             }
         }
 
         private fun run(command: Command) {
-            if (clock.now <
-                frozenUntil
-            ) {
+            if (clock.now < frozenUntil) {
                 held.add(command)
+            } else if (clock.now < slowUntil || waiting.isNotEmpty() || working) {
+                waiting.addLast(command)
+                if (!working) workOff()
             } else {
                 controller?.run(clock.now, WALL + clock.now, listOf(command))
             }
         }
 
+        private var slowUntil = 0L
+        private var commandMs = 0L
+        private val waiting = ArrayDeque<Command>()
+        private var working = false
+
+        /** Until then each command takes [ms] of the process, so that commands wait and are worked off in batches. */
+        fun slowDown(
+            ms: Long,
+            until: Long,
+        ) {
+            commandMs = ms
+            slowUntil = until
+        }
+
+        /** As the owner's loop does: one batch after the other, each begun when the one before is over. */
+        private fun workOff() {
+            val batch = List(minOf(waiting.size, Tuning.BATCH)) { waiting.removeFirst() }
+            working = batch.isNotEmpty()
+            if (batch.isEmpty()) return
+            val mine = life
+            controller?.run(clock.now, WALL + clock.now, batch)
+            val took = if (clock.now < slowUntil) batch.size * commandMs else 0L
+            clock.after(took) { if (mine == life) workOff() }
+        }
+
         /** As the load balancer sees it. */
         val healthy: Boolean get() {
             var status = 0
