A job that waits is told as pending only from the copy

Cause: Intake.resolve read the open record of a job that is not in the copy and took it for accepted since the copy was complete, when none of those that it waits for was over. A transaction carried out a minute late accepts it after that.

--- a/src/main/kotlin/ledgearch/intake/Intake.kt
+++ b/src/main/kotlin/ledgearch/intake/Intake.kt
@@ -564,8 +564,10 @@
 
             known != null -> respond(if (mayTellOpen(known)) status(200, openStatus(known)) else busy())
 
-            // Accepted since the copy was complete, when none of those that it waits for was over.
-            else -> respond(if (!isWaiting || isFresh()) status(200, WorkStatus(id, WorkStates.PENDING)) else busy())
+            // Its transaction may have been carried out long after what it waits for was over: the copy will tell.
+            isWaiting -> respond(busy())
+
+            else -> respond(status(200, WorkStatus(id, WorkStates.PENDING)))
         }
     }
 
