A machine that is at work is not taken for one that never boots; an empty page is no end of a listing

Cause: the cloud's answer to a rental put its machines among those that boot, also when they were up and known already; after three boot times they were given back with their tasks. Change: no machine that is known boots (one function for rentals and lists). Need: a page of a listing that is empty though more follows was taken for the last: machines and jobs behind it were taken for absent. The protocol does not say that it occurs. Change: such a page is no answer, in StateClient.list, so for take-over and job store alike.

--- a/src/main/kotlin/ledgearch/core/JobStore.kt
+++ b/src/main/kotlin/ledgearch/core/JobStore.kt
@@ -179,7 +179,7 @@
                 }
             }
             when {
-                page.hasNext && page.pairs.isNotEmpty() -> load(into, prefix, page.pairs.last().key)
+                page.hasNext -> load(into, prefix, page.pairs.last().key)
                 prefix + 1 < prefixes.size -> load(into, prefix + 1, null)
                 else -> install(into)
             }
--- a/src/main/kotlin/ledgearch/core/Takeover.kt
+++ b/src/main/kotlin/ledgearch/core/Takeover.kt
@@ -51,7 +51,7 @@
                 is ReadResult.Found -> {
                     toRead.removeFirst()
                     result.value.pairs.forEach { restore(prefix, it) }
-                    if (result.value.hasNext && result.value.pairs.isNotEmpty()) {
+                    if (result.value.hasNext) {
                         toRead.addFirst(
                             prefix to
                                 result.value.pairs
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -211,9 +211,9 @@
                         log.info("machine {} does not come up; it is returned", stove.ref)
                         booting.remove(stove.ref)
                         toRelease.add(stove.ref)
-                    } else if (stove.ref !in booting) {
-                        booting[stove.ref] =
-                            Booting(Pool(rack, stove.hall, stove.borrowed), now.steady - (stove.heldS * 1000).toLong())
+                    } else {
+                        val pool = Pool(rack, stove.hall, stove.borrowed)
+                        expectBoot(leader, stove.ref, Booting(pool, now.steady - (stove.heldS * 1000).toLong()))
                     }
                 }
             }
@@ -224,6 +224,15 @@
         }
     }
 
+    /** No machine that is known boots: it may have been up and at work before the answer to its rental came. */
+    private fun expectBoot(
+        leader: Leader,
+        name: String,
+        machine: Booting,
+    ) {
+        if (name !in leader.machines) booting.putIfAbsent(name, machine)
+    }
+
     /**
      * A machine that is up but whose worker reaches no controller is of no use, and nobody waits for it as for one that
      * boots.
@@ -317,7 +326,13 @@
                 planned.values.sum(),
             )
         }
-        for ((pool, count) in planned) if (key(pool) !in renting && bucket.has(1)) rent(pool, minOf(count, MAX_RENT))
+        for ((pool, count) in planned) {
+            if (key(pool) !in renting &&
+                bucket.has(1)
+            ) {
+                rent(leader, pool, minOf(count, MAX_RENT))
+            }
+        }
     }
 
     /** Not in a zone that is cut off: what is rented there can't be reached, and no more than a probe machine is. */
@@ -378,6 +393,7 @@
     private fun key(p: Pool) = "${p.rack.label}/${p.hall}/${p.borrowed}"
 
     private fun rent(
+        leader: Leader,
         pool: Pool,
         count: Int,
     ) {
@@ -405,7 +421,7 @@
                         pool.hall,
                         if (pool.borrowed) " (spot)" else "",
                     )
-                    for (name in names) booting.putIfAbsent(name, Booting(pool, now.steady))
+                    for (name in names) expectBoot(leader, name, Booting(pool, now.steady))
                     if (names.size < count) exhausted[key(pool)] = now.steady + Tuning.NO_CAPACITY_MS
                 }
 
--- a/src/main/kotlin/ledgearch/state/StateClient.kt
+++ b/src/main/kotlin/ledgearch/state/StateClient.kt
@@ -204,10 +204,16 @@
     ) {
         val after = if (since == null) "" else "&since=$since"
         enqueue(lane, 0, "GET", "/keys?under=$prefix$after&limit=${Tuning.PAGE}", null, Tuning.STATE_PAGE_MS) {
-            read(it, done) { text -> WireJson.decodeFromString(KeyPage.serializer(), text) }
+            read(it, { page -> done(page.takeUnless(::endsNowhere) ?: ReadResult.Failed) }) { text ->
+                WireJson.decodeFromString(KeyPage.serializer(), text)
+            }
         }
     }
 
+    /** An empty page that is not the last leaves no key to go on from, and what comes after it is not absent. */
+    private fun endsNowhere(page: ReadResult<KeyPage>) =
+        page is ReadResult.Found && page.value.hasNext && page.value.pairs.isEmpty()
+
     fun openLease(done: (Long?) -> Unit) =
         enqueue(
             Lane.VITAL,
--- a/src/test/kotlin/ledgearch/simulation/StateStandIn.kt
+++ b/src/test/kotlin/ledgearch/simulation/StateStandIn.kt
@@ -63,6 +63,9 @@
     /** Share of the transactions that write which are carried out at once and get no answer. */
     var unansweredShare = 0.0
 
+    /** Share of the pages of a listing that are empty though keys come after them. */
+    var emptyPageShare = 0.0
+
     /**
      * Transactions that change a key with this prefix get no answer until [lateUntil], and are carried out [lateMs]
      * later.
@@ -299,6 +302,9 @@
         val since = query["since"]
         val limit = query["limit"]?.toInt() ?: PAGE_SIZE
         val all = keysUnder(prefix).filter { since == null || it > since }
+        if (all.isNotEmpty() && emptyPageShare > 0 && random.nextDouble() < emptyPageShare) {
+            return Reply(200, WireJson.encodeToString(KeyPage.serializer(), KeyPage(emptyList(), true, edition)))
+        }
         val pairs = all.take(limit).map { KeyValue(it, keys.getValue(it).v, keys.getValue(it).stamp) }
         return Reply(200, WireJson.encodeToString(KeyPage.serializer(), KeyPage(pairs, all.size > limit, edition)))
     }
--- a/src/test/kotlin/ledgearch/simulation/StateSteps.kt
+++ b/src/test/kotlin/ledgearch/simulation/StateSteps.kt
@@ -14,6 +14,7 @@
             "unanswered-writes" to ::loseAnswersToWrites,
             "late-under" to ::delayWritesUnder,
             "blind" to ::blind,
+            "empty-pages" to { step -> state.emptyPageShare = step.words[1].toDouble() },
             "forget-changes" to { forgetChanges() },
             "state-down" to { state.outage(true) },
             "state-up" to { state.outage(false) },
