Every call ends with a reply

Cause: an address that can't be parsed or resolved threw a RuntimeException out of HttpClient.call, and the command with the answer never came: whoever waits for it (JobStore.reading, RecordWriter.writing, Election.leaseBusy, Machine.pushing) waited for ever. One failed look-up of the state service's name was enough. Change: such a call has no answer, like any that can't connect.

--- a/src/main/kotlin/ledgearch/http/HttpClient.kt
+++ b/src/main/kotlin/ledgearch/http/HttpClient.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import ledgearch.Tuning
+import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
@@ -20,6 +21,8 @@
         var idleSince: Long,
     )
 
+    private val log = LoggerFactory.getLogger("ledgearch.http")
+
     /** The addresses that have unused connections, the one used longest ago first. */
     private val idle = LinkedHashMap<String, ArrayDeque<Pooled>>()
     private var idleCount = 0
@@ -53,6 +56,10 @@
             return Reply.NONE
         } catch (_: BadMessage) {
             return Reply.NONE
+        } catch (e: RuntimeException) {
+            // An address that is none, or can't be resolved now: whoever waits for the answer must get one.
+            log.warn("no call to {}: {}", address, e.toString())
+            return Reply.NONE
         } finally {
             connection?.let { if (reusable) put(address, it) else close(it.channel) }
         }
