An unreadable record of machines keeps older jobs from starting

Cause: a machine record that does not decode was left out at take-over, and with it machines that run tasks: older jobs were taken for confirmed and their tasks started again. Change: while such a record is there, jobs accepted before the grant are not trusted, and the record is not written over. Not covered: team limits do not count machines that nobody knows.

--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -503,7 +503,7 @@
         // Also those to be released: the cloud may be out, and an earlier leader may keep them until the token is
         // shown.
         for (m in unconfirmed) dispatcher.probe(m)
-        if (allConfirmedLogged || unconfirmed.any { it.inherited }) return
+        if (allConfirmedLogged || takeover.anyUnreadable || unconfirmed.any { it.inherited }) return
         allConfirmedLogged = true
         jobStore.jobs.values.forEach { it.trusted = true }
         dirty = true
--- a/src/main/kotlin/ledgearch/core/MachineRecords.kt
+++ b/src/main/kotlin/ledgearch/core/MachineRecords.kt
@@ -48,10 +48,14 @@
     private val groupOf = HashMap<String, Group>()
     private val arrivals = LinkedHashMap<String, Machine>()
 
+    /** Names of records that can't be read. They are left as they are, so that the next leader knows of them too. */
+    private val unreadable = HashSet<String>()
+
     fun clear() {
         groups.clear()
         groupOf.clear()
         arrivals.clear()
+        unreadable.clear()
     }
 
     /** [m] belongs to the block, or something that its record tells has changed. */
@@ -72,27 +76,38 @@
         group.version++
     }
 
-    /** Machines of a record read by a new leader. */
+    /** Machines of a record read by a new leader; null when it can't tell all of them. */
     fun restore(
         name: String,
         pair: KeyValue,
         teams: Teams,
         nowMs: Long,
-    ): List<Machine> {
+    ): List<Machine>? {
         val record =
             if ((pair.v as? JsonObject)?.containsKey("endpoint") == true) {
                 decodeRecord(SingleMachineRecord.serializer(), pair.v)?.asOneOf(name)
             } else {
                 decodeRecord(MachinesRecord.serializer(), pair.v)
-            } ?: return emptyList()
+            }
+        if (record == null || record.machines.any { it.rack !in record.racks.indices }) {
+            unreadable.add(name)
+            return null
+        }
         val group =
             Group(name).also {
                 it.dirty = false
                 groups[name] = it
             }
-        return record.machines.mapNotNull { entry ->
-            val rack = record.racks.getOrNull(entry.rack) ?: return@mapNotNull null
-            Machine(entry.name, entry.endpoint, rack, entry.hall, entry.borrowed, nowMs, teams).also {
+        return record.machines.map { entry ->
+            Machine(
+                entry.name,
+                entry.endpoint,
+                record.racks[entry.rack],
+                entry.hall,
+                entry.borrowed,
+                nowMs,
+                teams,
+            ).also {
                 it.inherited = true
                 it.durable = true
                 it.draining = entry.quarantined
@@ -129,7 +144,7 @@
     }
 
     /** A key that has no record: a machine that is known again may have left its name to one of others. */
-    private fun freeName(name: String) = generateSequence(name) { "$it+" }.first { it !in groups }
+    private fun freeName(name: String) = generateSequence(name) { "$it+" }.first { it !in groups && it !in unreadable }
 
     /** Null when the group can't be written: too large, and in too many parts for one transaction. */
     private fun writing(group: Group): Writing? {
--- a/src/main/kotlin/ledgearch/core/RecordWriter.kt
+++ b/src/main/kotlin/ledgearch/core/RecordWriter.kt
@@ -100,13 +100,13 @@
 
     fun bind(machine: Machine) = machines.put(machine)
 
-    /** The machines of a record that an earlier leader wrote. */
+    /** The machines of a record that an earlier leader wrote; null when it can't be read. */
     fun restore(
         name: String,
         pair: KeyValue,
         teams: Teams,
         nowMs: Long,
-    ): List<Machine> = machines.restore(name, pair, teams, nowMs)
+    ): List<Machine>? = machines.restore(name, pair, teams, nowMs)
 
     fun remove(key: String) {
         removals.add(key)
--- a/src/main/kotlin/ledgearch/core/Takeover.kt
+++ b/src/main/kotlin/ledgearch/core/Takeover.kt
@@ -5,6 +5,7 @@
 import ledgearch.state.ReadResult
 import ledgearch.state.StateClient
 import ledgearch.wire.KeyValue
+import org.slf4j.LoggerFactory
 
 /** What a new leader reads before it acts: the machines of the block, then the finished tasks of open jobs. */
 internal class Takeover(
@@ -15,6 +16,7 @@
     private val now: Now,
     private val join: (Machine) -> Unit,
 ) {
+    private val log = LoggerFactory.getLogger("ledgearch.core")
     private val toRead = ArrayDeque<Pair<String, String?>>()
     private var reading = false
     private var retryAt = Long.MIN_VALUE
@@ -26,6 +28,13 @@
     var machinesRead = false
         private set
 
+    /**
+     * Some record of machines can't be read. Tasks of older jobs may be on machines that nobody here knows, so none of
+     * those jobs may be trusted as long as it is there.
+     */
+    var anyUnreadable = false
+        private set
+
     fun begin() {
         toRead.addLast(Keys.MACHINES to null)
         toRead.addLast(Keys.FINISHED to null)
@@ -36,6 +45,7 @@
         toRead.clear()
         reading = false
         machinesRead = false
+        anyUnreadable = false
     }
 
     /** Reads on; [done] once all is read. */
@@ -76,7 +86,16 @@
         val name = pair.key.removePrefix(prefix)
         recordWriter.read(pair.key, pair.stamp)
         if (prefix == Keys.MACHINES) {
-            recordWriter.restore(name, pair, teams, now.steady).forEach(join)
+            val machines = recordWriter.restore(name, pair, teams, now.steady)
+            if (machines == null) {
+                log.error(
+                    "the record {} can't be read: older jobs wait until it is removed and the leader ends",
+                    pair.key,
+                )
+                anyUnreadable = true
+            } else {
+                machines.forEach(join)
+            }
         } else {
             val id = name.substringBefore('/')
             val job = jobStore.jobs[id]
