--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -39,8 +39,10 @@
         val address: String,
     ) : Command
 
-    /** Time has passed. */
-    data object Tick : Command
+    /** Time has passed; [queuedAt]: when this was put in line (steady ms). */
+    class Tick(
+        val queuedAt: Long,
+    ) : Command
 
     class Answered(
         val reply: Reply,
@@ -60,6 +62,7 @@
     life: Long,
     nanos: () -> Long,
     finalsKept: Long = Tuning.FINAL_CACHE,
+    private val stepFailed: (RuntimeException) -> Unit = ::logFailure,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
     private val node = settings.node
@@ -73,7 +76,7 @@
     private val election: Election = Election(node, life, state, { jobStore }, now, random, ElectionEvents())
     private val recordWriter = RecordWriter(state, election, jobStore, now, settings.deployment.state.safeValueBytes)
     private val stalls = StallCompensation(now, metrics)
-    private val fleet: Fleet = Fleet(settings, metered, { election }, { jobStore }, now, { recordWriter })
+    private val fleet: Fleet = Fleet(settings, metered, { election }, { jobStore }, now, stalls) { recordWriter }
     private val leader = Leader(settings, state, metered, election, jobStore, now, recordWriter, fleet, metrics, stalls)
     private val intake = Intake(settings, jobStore, state, GrantEvents(), now)
 
@@ -91,55 +94,61 @@
         recordWriter.onClosed = { job, record -> jobStore.rememberFinal(job.id, record) }
     }
 
-    /** One batch: all commands, then whatever follows from them. [behind]: more commands wait already. */
+    /** One batch: all commands, then whatever follows from them. */
     fun run(
         steadyMs: Long,
         wallMs: Long,
         commands: List<Command>,
-        behind: Boolean = false,
     ) {
         now.steady = steadyMs
         now.wall = wallMs
-        stalls.behind = behind
-        for (command in commands) {
-            when (command) {
-                is Command.Serve -> {
-                    metrics.spend(
-                        if (command.request.path ==
-                            "/checkin"
-                        ) {
-                            "reports"
-                        } else {
-                            "requests"
-                        },
-                    ) { serve(command.request, command.respond) }
-                }
+        stalls.began()
+        for (command in commands) guarded { carryOut(command) }
+        guarded { jobStore.drive() }
+        guarded { election.drive() }
+        guarded { fleet.driveCatalog(election.holding) }
+        guarded { metrics.spend("intake") { intake.drive() } }
+        guarded { leader.drive() }
+        guarded { tellProgress() }
+        guarded { metrics.spend("state") { state.pump() } }
+        logLoad()
+    }
 
-                is Command.Answered -> {
-                    metrics.spend("answers") { command.done(command.reply) }
-                }
+    private fun carryOut(command: Command) {
+        when (command) {
+            is Command.Serve -> {
+                val kind = if (command.request.path == "/checkin") "reports" else "requests"
+                metrics.spend(kind) { serve(command.request, command.respond) }
+            }
 
-                is Command.News -> {
-                    heard(command.news)
-                }
+            is Command.Answered -> {
+                metrics.spend("answers") { command.done(command.reply) }
+            }
 
-                is Command.PeerRefused -> {
-                    members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
-                }
+            is Command.News -> {
+                heard(command.news)
+            }
 
-                Command.Tick -> {
-                    stalls.ticked()
-                }
+            is Command.PeerRefused -> {
+                members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
+            }
+
+            is Command.Tick -> {
+                stalls.ticked(command.queuedAt)
             }
         }
-        jobStore.drive()
-        election.drive()
-        fleet.driveCatalog(election.holding)
-        metrics.spend("intake") { intake.drive() }
-        leader.drive()
-        tellProgress()
-        metrics.spend("state") { state.pump() }
-        logLoad()
+    }
+
+    /**
+     * An exception ends [step] alone. The commands after it are carried out: one of them may be the answer without
+     * which this node would wait for ever. Errors, such as no memory, are not caught: after one the process ends.
+     */
+    private inline fun guarded(step: () -> Unit) {
+        try {
+            step()
+        } catch (e: RuntimeException) {
+            stepFailed(e)
+        }
     }
 
     /** For finding out from a log what a busy node is busy with. */
@@ -318,3 +327,6 @@
         ) = election.verified(sentAt, under)
     }
 }
+
+/** Whoever sent what could not be carried out gets no answer and comes back. */
+private fun logFailure(e: RuntimeException) = LoggerFactory.getLogger("ledgearch.core").error("a step failed", e)
