--- a/src/test/kotlin/ledgearch/simulation/ProductionSearch.kt
+++ b/src/test/kotlin/ledgearch/simulation/ProductionSearch.kt
@@ -28,4 +28,6 @@
 
 private const val SHOWN = 12
 
-private fun firstOf(failures: List<String>) = failures.take(SHOWN).joinToString("") { "\n  $it" }
+/** Broken rules, which name the time in ms, come before expectations that did not hold. */
+private fun firstOf(failures: List<String>) =
+    failures.sortedBy { " ms: " !in it }.take(SHOWN).joinToString("") { "\n  $it" }
