--- a/src/main/kotlin/ledgearch/leader/Election.kt
+++ b/src/main/kotlin/ledgearch/leader/Election.kt
@@ -88,8 +88,8 @@
     }
 
     /**
-     * The job store has news of the grant. A leader stops at a newer grant before it learns of anything that was accepted
-     * under it, also while it renews its token: what comes after that grant is the next leader's to start.
+     * The job store has news of the grant. A leader stops at a newer grant before it learns of anything that was
+     * accepted under it, also while it renews its token: what comes after that grant is the next leader's to start.
      */
     fun grantChanged() {
         compareJobStore()
