One reader of a job's records

Three places read a job's open and then its final record and remembered the latter: AwaitedJobs, Intake and JobDependencies (the final one only). Now JobRecordReader does it for all three, with a typed result (JobReading). Requests, their order and the limits on their number stay the same.

--- a/src/main/kotlin/ledgearch/core/JobDependencies.kt
+++ b/src/main/kotlin/ledgearch/core/JobDependencies.kt
@@ -1,9 +1,6 @@
 package ledgearch.core
 
 import ledgearch.Tuning
-import ledgearch.state.Lane
-import ledgearch.state.ReadResult
-import ledgearch.state.StateClient
 import ledgearch.wire.WorkStates
 
 /** Told when the state of a job's dependencies has changed. */
@@ -34,11 +31,10 @@
  * grant: it starts none of its tasks before every recorded machine has confirmed the new token.
  */
 internal class JobDependencies(
-    private val state: StateClient,
+    private val records: JobRecordReader,
     private val now: Now,
     private val openJobs: Map<String, Job>,
     private val finalOf: (String) -> FinalRecord?,
-    private val rememberFinal: (String, FinalRecord) -> Unit,
     private val listener: DependencyListener,
 ) {
     /** For each job that is not known to be over, the open jobs that name it. */
@@ -152,11 +148,7 @@
     private fun read(id: String) {
         reading++
         readAgainAt[id] = now.steady + Tuning.DEPENDENCY_READ_MS
-        state.get(Keys.final(id), Lane.ORDINARY) { result ->
-            reading--
-            val record = (result as? ReadResult.Found)?.let { decodeRecord(FinalRecord.serializer(), it.value.v) }
-            if (record != null) rememberFinal(id, record)
-        }
+        records.readFinal(id) { reading-- }
     }
 
     // --- Urgency ------------------------------------------------------------------------------------------------
--- a/src/main/kotlin/ledgearch/core/JobStore.kt
+++ b/src/main/kotlin/ledgearch/core/JobStore.kt
@@ -42,7 +42,10 @@
     private val log = LoggerFactory.getLogger("ledgearch.state")
     val jobs = LinkedHashMap<String, Job>()
     private val finals = LruMap<String, FinalRecord>(finalsKept)
-    val dependencies = JobDependencies(state, now, jobs, ::final, ::rememberFinal, dependencyListener)
+
+    /** Reads single jobs past the watch. */
+    val records = JobRecordReader(state, ::rememberFinal)
+    val dependencies = JobDependencies(records, now, jobs, ::final, dependencyListener)
     var racks: Map<String, Rack> = emptyMap()
         private set
     var grant: GrantRecord? = null
--- a/src/main/kotlin/ledgearch/intake/AwaitedJobs.kt
+++ b/src/main/kotlin/ledgearch/intake/AwaitedJobs.kt
@@ -1,13 +1,8 @@
 package ledgearch.intake
 
 import ledgearch.core.FinalRecord
+import ledgearch.core.JobReading
 import ledgearch.core.JobStore
-import ledgearch.core.Keys
-import ledgearch.core.decodeRecord
-import ledgearch.state.Lane
-import ledgearch.state.ReadResult
-import ledgearch.state.StateClient
-import ledgearch.wire.KeyValue
 
 /** What is known of the jobs that a submission names as awaited. */
 internal sealed interface AwaitedResult {
@@ -37,7 +32,6 @@
  */
 internal class AwaitedJobs(
     private val jobStore: JobStore,
-    private val state: StateClient,
 ) {
     /** Looks at [ids] one after the other. */
     fun check(
@@ -54,7 +48,7 @@
             val job = jobStore.jobs[id]
             if (job?.standing == true) return done(AwaitedResult.IsService(id))
             if (job != null || jobStore.final(id) != null) continue
-            return readOpen(id, done) { final ->
+            return read(id, done) { final ->
                 if (final != null) ended[id] = final
                 check(ids.drop(index + 1), ended, done)
             }
@@ -62,37 +56,17 @@
         done(AwaitedResult.AllAccepted(ended))
     }
 
-    private fun readOpen(
+    /** [accepted] gets the final record where there is one. */
+    private fun read(
         id: String,
         done: (AwaitedResult) -> Unit,
         accepted: (FinalRecord?) -> Unit,
-    ) = state.get(Keys.job(id), Lane.ORDINARY) { result ->
-        when (result) {
-            is ReadResult.Found -> accepted(null)
-            ReadResult.Absent -> readOver(id, done, accepted)
-            ReadResult.Failed -> done(AwaitedResult.Unknown)
+    ) = jobStore.records.read(id) { reading ->
+        when (reading) {
+            is JobReading.Open -> accepted(null)
+            is JobReading.Over -> accepted(reading.record)
+            JobReading.Absent -> done(AwaitedResult.NeverAccepted(id))
+            JobReading.Unknown -> done(AwaitedResult.Unknown)
         }
     }
-
-    private fun readOver(
-        id: String,
-        done: (AwaitedResult) -> Unit,
-        accepted: (FinalRecord?) -> Unit,
-    ) = state.get(Keys.final(id), Lane.ORDINARY) { result ->
-        when (result) {
-            is ReadResult.Found -> remember(id, result)?.let(accepted) ?: done(AwaitedResult.Unknown)
-            ReadResult.Absent -> done(AwaitedResult.NeverAccepted(id))
-            ReadResult.Failed -> done(AwaitedResult.Unknown)
-        }
-    }
-
-    private fun remember(
-        id: String,
-        result: ReadResult<KeyValue>,
-    ): FinalRecord? {
-        val stored = result as? ReadResult.Found ?: return null
-        val record = decodeRecord(FinalRecord.serializer(), stored.value.v) ?: return null
-        jobStore.rememberFinal(id, record)
-        return record
-    }
 }
--- a/src/main/kotlin/ledgearch/intake/Intake.kt
+++ b/src/main/kotlin/ledgearch/intake/Intake.kt
@@ -5,6 +5,7 @@
 import ledgearch.config.Team
 import ledgearch.core.FinalRecord
 import ledgearch.core.Job
+import ledgearch.core.JobReading
 import ledgearch.core.JobRecord
 import ledgearch.core.JobStore
 import ledgearch.core.Keys
@@ -13,7 +14,6 @@
 import ledgearch.http.Request
 import ledgearch.http.Response
 import ledgearch.state.Lane
-import ledgearch.state.ReadResult
 import ledgearch.state.StateClient
 import ledgearch.state.TxnResult
 import ledgearch.wire.Change
@@ -85,7 +85,7 @@
     )
 
     private val teams: Map<String, Team> = settings.deployment.teams.associateBy { it.name }
-    private val awaitedJobs = AwaitedJobs(jobStore, state)
+    private val awaitedJobs = AwaitedJobs(jobStore)
     private val freshMs = (settings.deployment.workers.cancelS * 1000 * Tuning.FRESH_SHARE).toLong()
     private val valueLimit = settings.deployment.state.safeValueBytes
     private val submissions = LinkedHashMap<String, Submission>()
@@ -571,10 +571,7 @@
         }
     }
 
-    /**
-     * Reads the open record first, then the final one, since a job moves only that way: where both are absent it had
-     * not been accepted at the first reading. A final record is the answer, and so is a state service that gives none.
-     */
+    /** Reads the job's records. A final record is the answer, and so is a state service that gives none. */
     private fun read(
         id: String,
         respond: (Response) -> Unit,
@@ -583,43 +580,13 @@
     ) {
         if (reading >= Tuning.INTAKE_BACKLOG) return respond(busy())
         reading++
-        state.get(Keys.job(id), Lane.ORDINARY) { first ->
+        jobStore.records.read(id) { result ->
             reading--
-            when (first) {
-                is ReadResult.Found -> open(first.value)
-                ReadResult.Absent -> readFinal(id, { respond(busy()) }, unknown) { respond(finalAnswer(id, it)) }
-                ReadResult.Failed -> respond(busy())
-            }
-        }
-    }
-
-    private fun readFinal(
-        id: String,
-        failed: () -> Unit,
-        absent: () -> Unit,
-        found: (FinalRecord) -> Unit,
-    ) {
-        reading++
-        state.get(Keys.final(id), Lane.ORDINARY) { read ->
-            reading--
-            when (read) {
-                is ReadResult.Found -> {
-                    val record = decodeRecord(FinalRecord.serializer(), read.value.v)
-                    if (record != null) {
-                        jobStore.rememberFinal(id, record)
-                        found(record)
-                    } else {
-                        failed()
-                    }
-                }
-
-                ReadResult.Absent -> {
-                    absent()
-                }
-
-                ReadResult.Failed -> {
-                    failed()
-                }
+            when (result) {
+                is JobReading.Open -> open(result.stored)
+                is JobReading.Over -> respond(finalAnswer(id, result.record))
+                JobReading.Absent -> unknown()
+                JobReading.Unknown -> respond(busy())
             }
         }
     }
@@ -649,7 +616,8 @@
 
                 // Over, or marked by another node, and this node's job store is behind.
                 is TxnResult.Conflict -> {
-                    readFinal(id, {}, {}) {}
+                    reading++
+                    jobStore.records.readFinal(id) { reading-- }
                 }
 
                 else -> {
