Intake: one collaborator for each kind of request

Now Intake only routes and drives; Submissions (with SubmissionBatch), Polls, Withdrawals, JobLookup (direct readings and their limit), DependencyKnowledge and JobAnswers have one job each. Order of sending, answers, iteration orders and limits are unchanged. The texts of answers and the status codes are as before; HttpStatus names the codes.

--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -19,7 +19,7 @@
 import ledgearch.http.Request
 import ledgearch.http.Response
 import ledgearch.http.listenOn
-import ledgearch.intake.Intake
+import ledgearch.intake.errorResponse
 import ledgearch.mesh.LeaderStatus
 import ledgearch.mesh.MeshEvents
 import ledgearch.mesh.MeshLinks
@@ -118,7 +118,7 @@
     }
 
     /** More users ask than can be answered in time: each is told at once when to come back. */
-    private val tooBusy = Intake.error(503, "too many requests").copy(retryAfterS = settings.operator.retryAfterS)
+    private val tooBusy = errorResponse(503, "too many requests").copy(retryAfterS = settings.operator.retryAfterS)
 
     private inner class OwnerEvents : MeshEvents {
         override suspend fun news(news: LeaderStatus) = queue.put(Command.News(news))
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -8,6 +8,7 @@
 import ledgearch.http.Response
 import ledgearch.intake.GrantView
 import ledgearch.intake.Intake
+import ledgearch.intake.errorResponse
 import ledgearch.leader.Election
 import ledgearch.leader.ElectionListener
 import ledgearch.mesh.LeaderStatus
@@ -190,7 +191,7 @@
     ) {
         when (request.path) {
             "/up" -> {
-                respond(if (healthy()) Response(200, "{}") else Intake.error(503, "not ready"))
+                respond(if (healthy()) Response(200, "{}") else errorResponse(503, "not ready"))
             }
 
             "/checkin" -> {
@@ -199,7 +200,7 @@
                 ) {
                     checkIn(request.body, measured("checkin", respond))
                 } else {
-                    respond(Intake.error(405, "use POST"))
+                    respond(errorResponse(405, "use POST"))
                 }
             }
 
@@ -256,7 +257,7 @@
             try {
                 WireJson.decodeFromString(CheckIn.serializer(), body)
             } catch (e: IllegalArgumentException) {
-                respond(Intake.error(400, "not a report"))
+                respond(errorResponse(400, "not a report"))
                 return
             }
         val orders = leader.report(report) ?: return respond(elsewhere())
@@ -265,7 +266,7 @@
 
     private fun elsewhere(): Response {
         val other = jobStore.grant?.node
-        if (other == null || other == node) return Intake.error(503, "no leader is known")
+        if (other == null || other == node) return errorResponse(503, "no leader is known")
         return Response(421, WireJson.encodeToString(Misdirected.serializer(), Misdirected(other)))
     }
 
--- /dev/null
+++ b/src/main/kotlin/ledgearch/intake/JobAnswers.kt
@@ -0,0 +1,66 @@
+package ledgearch.intake
+
+import ledgearch.core.FinalRecord
+import ledgearch.core.Job
+import ledgearch.http.HttpStatus
+import ledgearch.http.Response
+import ledgearch.wire.ErrorBody
+import ledgearch.wire.WireJson
+import ledgearch.wire.WorkStates
+import ledgearch.wire.WorkStatus
+
+/** Takes the answer to a request. */
+internal typealias Respond = (Response) -> Unit
+
+/** The answer to a request that failed for the reason [why]. */
+internal fun errorResponse(
+    code: Int,
+    why: String,
+) = Response(code, WireJson.encodeToString(ErrorBody.serializer(), ErrorBody(why)))
+
+/** Builds the answers to requests about jobs; whether an answer may be given is for its users to decide. */
+internal class JobAnswers(
+    private val grant: GrantView,
+    private val retryAfterS: Int,
+) {
+    /** A submission was accepted and its job is in [state]. */
+    fun accepted(
+        id: String,
+        state: String,
+    ) = status(HttpStatus.CREATED, WorkStatus(id, state))
+
+    /** The open job [job]; its progress is known from its own tasks on the leader, elsewhere from the leader's news. */
+    fun open(job: Job): Response {
+        val running = if (grant.holding) job.runningCount else job.shown?.running ?: 0
+        val done = if (grant.holding) job.finishedCount else job.shown?.done ?: 0
+        val state = if (running > 0) WorkStates.RUNNING else WorkStates.PENDING
+        return status(HttpStatus.OK, WorkStatus(job.id, state, done, running))
+    }
+
+    /** The job [id] is open; nothing more is known of it here. */
+    fun pending(id: String) = status(HttpStatus.OK, WorkStatus(id, WorkStates.PENDING))
+
+    /** The job [id] is over. */
+    fun over(
+        id: String,
+        record: FinalRecord,
+    ): Response {
+        val done = if (record.st == WorkStates.DONE) record.n else 0
+        return status(HttpStatus.OK, WorkStatus(id, record.st, done, 0))
+    }
+
+    /** Nobody has submitted the job. */
+    fun unknownJob() = errorResponse(HttpStatus.NOT_FOUND, "no such job")
+
+    /** Nothing can be confirmed now. */
+    fun tryAgain() = Response(HttpStatus.UNAVAILABLE, TRY_AGAIN, retryAfterS)
+
+    private fun status(
+        code: Int,
+        body: WorkStatus,
+    ) = Response(code, WireJson.encodeToString(WorkStatus.serializer(), body))
+
+    private companion object {
+        const val TRY_AGAIN = """{"error":"try again later"}"""
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/intake/SubmissionBatch.kt
@@ -0,0 +1,97 @@
+package ledgearch.intake
+
+import ledgearch.Tuning
+import ledgearch.core.FinalRecord
+import ledgearch.core.JobRecord
+import ledgearch.core.Keys
+import ledgearch.http.Response
+import ledgearch.wire.Change
+import ledgearch.wire.Condition
+import ledgearch.wire.WireJson
+import ledgearch.wire.WorkStates
+
+/** A job that is to be accepted, and who waits for it. [endedDependencies]: final records that were read for it. */
+internal class Submission(
+    val record: JobRecord,
+    val since: Long,
+    val endedDependencies: Map<String, FinalRecord>,
+) {
+    val id: String get() = record.spec.ref
+
+    /** Those who asked before the transaction was first sent: its answer is theirs. */
+    val first = ArrayList<Respond>()
+
+    /** Those who asked later: it may have been carried out, and more told of the job, before they did. */
+    val late = ArrayList<Respond>()
+
+    /** Its transaction was sent at least once. */
+    var sent = false
+
+    /** The same job was submitted again. */
+    fun join(respond: Respond) {
+        val group = if (sent) late else first
+        group.add(respond)
+    }
+
+    /** Everyone gets the same answer. */
+    fun answer(response: Response) {
+        first.forEach { it(response) }
+        late.forEach { it(response) }
+        first.clear()
+        late.clear()
+    }
+}
+
+/** One transaction that accepts several jobs; it compares [grantCondition] where this node leads. */
+internal class SubmissionBatch(
+    val grantCondition: Condition?,
+    private val maxChanges: Int,
+) {
+    val submissions = ArrayList<Submission>()
+    val conditions = ArrayList(listOfNotNull(grantCondition))
+    val changes = ArrayList<Change>()
+
+    /** Those that are withdrawn as they are accepted. */
+    val withdrawn = HashSet<Submission>()
+    private var bytes = 0
+
+    /** False when there is no room for [submission]; the first always has room. */
+    fun add(
+        submission: Submission,
+        isWithdrawn: Boolean,
+    ): Boolean {
+        val change = if (isWithdrawn) withdrawnChange(submission.id) else openChange(submission.record)
+        val size = sizeOf(change)
+        val isFull = changes.size >= maxChanges || bytes + size > Tuning.TXN_BYTES
+        if (isFull && submissions.isNotEmpty()) return false
+        bytes += size
+        submissions.add(submission)
+        conditions.add(Condition(Keys.job(submission.id), ABSENT))
+        conditions.add(Condition(Keys.final(submission.id), ABSENT))
+        changes.add(change)
+        if (isWithdrawn) withdrawn.add(submission)
+        submission.sent = true
+        return true
+    }
+
+    private fun withdrawnChange(id: String): Change {
+        val record = FinalRecord(WorkStates.WITHDRAWN)
+        return Change(put = Keys.final(id), v = WireJson.encodeToJsonElement(FinalRecord.serializer(), record))
+    }
+
+    private fun openChange(record: JobRecord) =
+        Change(put = Keys.job(record.spec.ref), v = WireJson.encodeToJsonElement(JobRecord.serializer(), record))
+
+    private fun sizeOf(change: Change): Int {
+        val text = change.v.toString()
+        return text.encodeToByteArray().size * SIZE_FACTOR
+    }
+
+    private companion object {
+        /** The stamp of a key that does not exist. */
+        const val ABSENT = 0L
+
+        /** A value is counted this many times over against the room of a transaction. */
+        const val SIZE_FACTOR = 2
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/intake/Submissions.kt
@@ -0,0 +1,289 @@
+package ledgearch.intake
+
+import ledgearch.Tuning
+import ledgearch.config.Team
+import ledgearch.core.FinalRecord
+import ledgearch.core.JobRecord
+import ledgearch.core.JobStore
+import ledgearch.core.Keys
+import ledgearch.core.Now
+import ledgearch.http.HttpStatus
+import ledgearch.state.Lane
+import ledgearch.state.StateClient
+import ledgearch.state.TxnResult
+import ledgearch.wire.WireJson
+import ledgearch.wire.WorkStates
+
+/** What bounds a submission, from the settings. */
+internal class SubmissionLimits(
+    val teams: Map<String, Team>,
+    val valueBytes: Int,
+)
+
+/** Submissions of jobs: checks them, accepts them in batches of one transaction at a time and answers. */
+internal class Submissions(
+    private val limits: SubmissionLimits,
+    private val jobStore: JobStore,
+    private val state: StateClient,
+    private val grant: GrantView,
+    private val now: Now,
+    private val dependencies: DependencyKnowledge,
+    private val lookup: JobLookup,
+    private val polls: Polls,
+    private val answers: JobAnswers,
+) {
+    private val awaitedJobs = AwaitedJobs(jobStore)
+    private val waiting = LinkedHashMap<String, Submission>()
+    private var submitting = false
+    private var retryAt = 0L
+
+    /** A user submits a job. */
+    fun add(
+        body: String,
+        respond: Respond,
+    ) {
+        val submitted =
+            try {
+                Submitted.read(body)
+            } catch (e: Malformed) {
+                return respond(errorResponse(HttpStatus.BAD_REQUEST, e.message.orEmpty()))
+            }
+        val id = submitted.id
+        jobStore.final(id)?.let { return respond(answers.over(id, it)) }
+        if (jobStore.jobs.containsKey(id)) return polls.add(id, respond)
+        val spec =
+            try {
+                submitted.request()
+            } catch (e: Malformed) {
+                return refuse(id, HttpStatus.BAD_REQUEST, e.message.orEmpty(), respond)
+            }
+        check(JobRecord(spec, now.wall), respond)
+    }
+
+    /** Turns away those that have waited too long. */
+    fun expire() {
+        val late = waiting.values.iterator()
+        while (late.hasNext()) {
+            val submission = late.next()
+            if (now.steady - submission.since < Tuning.SUBMIT_MS) continue
+            late.remove()
+            submission.answer(answers.tryAgain())
+        }
+    }
+
+    /** Sends the next transaction unless one is under way. */
+    fun flush() {
+        if (submitting || waiting.isEmpty() || now.steady < retryAt) return
+        val batch = nextBatch()
+        if (batch.submissions.isEmpty()) return
+        submitting = true
+        val sentAt = now.steady
+        state.txn(batch.conditions, batch.changes, Lane.ORDINARY) { result ->
+            submitting = false
+            answered(batch, result, sentAt)
+        }
+    }
+
+    // --- Checks -------------------------------------------------------------------------------------------------
+
+    private fun check(
+        record: JobRecord,
+        respond: Respond,
+    ) {
+        val spec = record.spec
+        val id = spec.ref
+        if (bytes(record.copy(cancel = true)) > limits.valueBytes) {
+            return refuse(id, HttpStatus.BAD_REQUEST, "too large", respond)
+        }
+        if (joined(id, respond)) return
+        if (jobStore.racks.isEmpty() || waiting.size >= Tuning.INTAKE_BACKLOG) return respond(answers.tryAgain())
+        val impossible = Validation.impossible(spec, limits.teams[spec.crew], jobStore.racks.values)
+        when {
+            impossible != null -> refuse(id, HttpStatus.UNPROCESSABLE, impossible, respond)
+            spec.awaits == null -> accept(record, respond)
+            else -> checkAwaited(record, spec.awaits, respond)
+        }
+    }
+
+    /** The same submission is under way: its answer is this one's too. */
+    private fun joined(
+        id: String,
+        respond: Respond,
+    ): Boolean {
+        val underWay = waiting[id] ?: return false
+        underWay.join(respond)
+        return true
+    }
+
+    private fun checkAwaited(
+        record: JobRecord,
+        awaited: List<String>,
+        respond: Respond,
+    ) {
+        if (lookup.isFull) return respond(answers.tryAgain())
+        awaitedJobs.check(awaited, lookup.counted { awaitedChecked(record, it, respond) })
+    }
+
+    private fun awaitedChecked(
+        record: JobRecord,
+        result: AwaitedResult,
+        respond: Respond,
+    ) {
+        val why =
+            when (result) {
+                is AwaitedResult.AllAccepted -> return accept(record, respond, result.ended)
+                is AwaitedResult.NeverAccepted -> "awaits: ${result.job} was never accepted"
+                is AwaitedResult.IsService -> "awaits: ${result.job} is a service and never done"
+                AwaitedResult.Unknown -> return respond(answers.tryAgain())
+            }
+        refuse(record.spec.ref, HttpStatus.UNPROCESSABLE, why, respond)
+    }
+
+    /** [record] is fit to be accepted; it may have become known since it came. */
+    private fun accept(
+        record: JobRecord,
+        respond: Respond,
+        endedDependencies: Map<String, FinalRecord> = emptyMap(),
+    ) {
+        val id = record.spec.ref
+        if (jobStore.final(id) != null || jobStore.jobs.containsKey(id)) return polls.add(id, respond)
+        if (joined(id, respond)) return
+        val submission = Submission(record, now.steady, endedDependencies)
+        submission.join(respond)
+        waiting[id] = submission
+    }
+
+    /**
+     * A job accepted earlier stays accepted, whatever its body or the catalog says now: only one never accepted is
+     * refused.
+     */
+    private fun refuse(
+        id: String,
+        status: Int,
+        why: String,
+        respond: Respond,
+    ) {
+        val underWay = waiting[id]
+        if (underWay != null) {
+            underWay.late.add(respond)
+        } else {
+            lookup.answer(id, respond) { respond(errorResponse(status, why)) }
+        }
+    }
+
+    // --- Batches ------------------------------------------------------------------------------------------------
+
+    private fun nextBatch(): SubmissionBatch {
+        val batch = SubmissionBatch(grant.condition.takeIf { grant.holding }, state.maxChanges)
+        for (submission in waiting.values.toList()) {
+            if (!add(submission, batch)) break
+        }
+        return batch
+    }
+
+    /** False when [batch] has no room for [submission]; one that can't be decided yet is passed over. */
+    private fun add(
+        submission: Submission,
+        batch: SubmissionBatch,
+    ): Boolean {
+        val unfinished = unfinishedDependencies(submission)
+        if (unfinished.isNotEmpty() && !dependencies.isFresh) {
+            turnAway(submission)
+            return true
+        }
+        val isWithdrawn = unfinished.any { isWithdrawn(it, submission) }
+        // It waits for what is being read: one of those that they depend on may have been withdrawn long ago.
+        if (!isWithdrawn && !unfinished.all(jobStore.dependencies::isKnown)) return true
+        return batch.add(submission, isWithdrawn)
+    }
+
+    private fun unfinishedDependencies(submission: Submission): List<String> {
+        val awaited = submission.record.spec.awaits
+        return awaited.orEmpty().filter { finalOf(it, submission)?.st != WorkStates.DONE }
+    }
+
+    /** [id] is not done; where it is over all the same it was withdrawn. */
+    private fun isWithdrawn(
+        id: String,
+        submission: Submission,
+    ) = finalOf(id, submission) != null || jobStore.jobs[id]?.dependencyWithdrawn == true
+
+    private fun finalOf(
+        id: String,
+        submission: Submission,
+    ): FinalRecord? = submission.endedDependencies[id] ?: jobStore.final(id)
+
+    private fun answered(
+        batch: SubmissionBatch,
+        result: TxnResult,
+        sentAt: Long,
+    ) {
+        when (result) {
+            is TxnResult.Ok -> {
+                executed(batch, result.edition, sentAt)
+            }
+
+            is TxnResult.Conflict -> {
+                batch.submissions.forEach { conflicted(it, result.failed) }
+            }
+
+            // Not taken: the users are told at once, and when to come back.
+            TxnResult.Refused, TxnResult.TooLarge, TxnResult.NoLease -> {
+                batch.submissions.forEach(::turnAway)
+            }
+
+            // A repeat is harmless: if the first was executed, the condition fails and the job is found.
+            TxnResult.Unknown -> {
+                retryAt = now.steady + Tuning.STATE_RETRY_MS
+            }
+        }
+    }
+
+    private fun executed(
+        batch: SubmissionBatch,
+        revision: Long,
+        sentAt: Long,
+    ) {
+        val condition = batch.grantCondition
+        if (condition != null) grant.verified(sentAt, condition.stamp)
+        for (submission in batch.submissions) {
+            waiting.remove(submission.id, submission)
+            val isUnderGrant = condition != null && grant.holding
+            if (submission in batch.withdrawn) {
+                jobStore.rememberFinal(submission.id, FinalRecord(WorkStates.WITHDRAWN))
+                accepted(submission, WorkStates.WITHDRAWN)
+            } else {
+                if (isUnderGrant) jobStore.acceptUnderGrant(submission.record, revision)
+                accepted(submission, WorkStates.PENDING)
+            }
+        }
+    }
+
+    private fun accepted(
+        submission: Submission,
+        state: String,
+    ) {
+        submission.first.forEach { it(answers.accepted(submission.id, state)) }
+        submission.late.forEach { polls.add(submission.id, it) }
+    }
+
+    private fun conflicted(
+        submission: Submission,
+        failed: List<String>,
+    ) {
+        val id = submission.id
+        if (Keys.job(id) !in failed && Keys.final(id) !in failed) return
+        waiting.remove(id, submission)
+        for (respond in submission.first + submission.late) {
+            lookup.answer(id, respond) { respond(answers.tryAgain()) }
+        }
+    }
+
+    private fun turnAway(submission: Submission) {
+        waiting.remove(submission.id, submission)
+        submission.answer(answers.tryAgain())
+    }
+
+    private fun bytes(record: JobRecord) =
+        WireJson.encodeToString(JobRecord.serializer(), record).encodeToByteArray().size
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/intake/Withdrawals.kt
@@ -0,0 +1,151 @@
+package ledgearch.intake
+
+import ledgearch.Tuning
+import ledgearch.core.JobRecord
+import ledgearch.core.JobStore
+import ledgearch.core.Keys
+import ledgearch.core.Now
+import ledgearch.core.decodeRecord
+import ledgearch.state.Lane
+import ledgearch.state.StateClient
+import ledgearch.state.TxnResult
+import ledgearch.wire.Change
+import ledgearch.wire.Condition
+import ledgearch.wire.KeyValue
+import ledgearch.wire.WireJson
+
+/**
+ * Withdrawals of jobs: marks the open record as cancelled, which makes the user's wish durable, and answers once the
+ * job is over. The block's leader carries the wish out.
+ */
+internal class Withdrawals(
+    private val jobStore: JobStore,
+    private val state: StateClient,
+    private val now: Now,
+    private val lookup: JobLookup,
+    private val answers: JobAnswers,
+) {
+    private class Withdrawal(
+        val since: Long,
+        val respond: Respond,
+    )
+
+    private val waiting = HashMap<String, MutableList<Withdrawal>>()
+
+    /** Jobs whose mark is being written, and when it may be written again (steady ms). */
+    private val markAgainAt = HashMap<String, Long>()
+
+    /** A user wants the job [id] withdrawn. */
+    fun add(
+        id: String,
+        respond: Respond,
+    ) {
+        if (!Validation.isJobId(id)) return respond(answers.unknownJob())
+        jobStore.final(id)?.let { return respond(answers.over(id, it)) }
+        val withdrawal = Withdrawal(now.steady, respond)
+        if (jobStore.jobs.containsKey(id)) return await(id, withdrawal)
+        // Accepted at another node a moment ago, perhaps: only an end is an answer to a withdrawal.
+        lookup.read(id, respond, unknown = { respond(answers.unknownJob()) }) { open ->
+            foundOpen(id, withdrawal, open)
+        }
+    }
+
+    /** The job [id] is over: whoever waits for that is told. */
+    fun closed(id: String) {
+        markAgainAt.remove(id)
+        val told = waiting.remove(id) ?: return
+        val answer = jobStore.final(id)?.let { answers.over(id, it) } ?: answers.tryAgain()
+        told.forEach { it.respond(answer) }
+    }
+
+    /** Turns away those that have waited too long, or whose end can't be learnt now. */
+    fun expire() {
+        val lists = waiting.values.iterator()
+        while (lists.hasNext()) {
+            val list = lists.next()
+            list.removeAll(::isTurnedAway)
+            if (list.isEmpty()) lists.remove()
+        }
+        if (state.refuses) turnAwayMarked()
+    }
+
+    /** Marks the jobs that are to be withdrawn and are not marked yet. */
+    fun markOpenJobs() {
+        for (id in waiting.keys) {
+            val job = jobStore.jobs[id] ?: continue
+            if (!job.record.cancel) mark(job.record, job.stamp)
+        }
+    }
+
+    private fun await(
+        id: String,
+        withdrawal: Withdrawal,
+    ) {
+        waiting.getOrPut(id) { ArrayList() }.add(withdrawal)
+    }
+
+    private fun foundOpen(
+        id: String,
+        withdrawal: Withdrawal,
+        open: KeyValue,
+    ) {
+        jobStore.final(id)?.let { return withdrawal.respond(answers.over(id, it)) }
+        val record = decodeRecord(JobRecord.serializer(), open.v) ?: return withdrawal.respond(answers.tryAgain())
+        await(id, withdrawal)
+        if (!record.cancel) mark(record, open.stamp)
+    }
+
+    private fun isTurnedAway(withdrawal: Withdrawal): Boolean {
+        if (now.steady - withdrawal.since < Tuning.WITHDRAW_MS) return false
+        withdrawal.respond(answers.tryAgain())
+        return true
+    }
+
+    /** The wish is durable already; the end can't be seen by this node now. */
+    private fun turnAwayMarked() {
+        val marked = waiting.entries.iterator()
+        while (marked.hasNext()) {
+            val (id, list) = marked.next()
+            if (jobStore.jobs[id]?.record?.cancel != true) continue
+            list.forEach { it.respond(answers.tryAgain()) }
+            marked.remove()
+        }
+    }
+
+    private fun mark(
+        record: JobRecord,
+        stamp: Long,
+    ) {
+        val id = record.spec.ref
+        if (now.steady < (markAgainAt[id] ?: Long.MIN_VALUE)) return
+        markAgainAt[id] = now.steady + Tuning.STATE_MS
+        val value = WireJson.encodeToJsonElement(JobRecord.serializer(), record.copy(cancel = true))
+        val condition = Condition(Keys.job(id), stamp)
+        val change = Change(put = Keys.job(id), v = value)
+        state.txn(listOf(condition), listOf(change), Lane.ORDINARY) { marked(id, it) }
+    }
+
+    private fun marked(
+        id: String,
+        result: TxnResult,
+    ) {
+        // Once written, the watch brings the mark.
+        markAgainAt[id] = now.steady + Tuning.STATE_RETRY_MS
+        when (result) {
+            // It is tried again when a user asks again.
+            TxnResult.Refused, TxnResult.TooLarge -> {
+                markAgainAt.remove(id)
+                waiting.remove(id)?.forEach { it.respond(answers.tryAgain()) }
+            }
+
+            // Over, or marked by another node, and this node's job store is behind.
+            is TxnResult.Conflict -> {
+                lookup.refreshFinal(id)
+            }
+
+            is TxnResult.Ok, TxnResult.NoLease, TxnResult.Unknown -> {
+                Unit
+            }
+        }
+    }
+}
