Records are encoded in one place

Election and RecordWriter had the same private function, Withdrawals, SubmissionBatch and MachineRecords encoded by themselves. encodeRecord stands beside decodeRecord now, with the same JSON format, so stored bytes stay. WarmUp's exit code has its name too.

--- a/src/main/kotlin/ledgearch/cli/WarmUp.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUp.kt
@@ -31,5 +31,5 @@
     } finally {
         Files.deleteIfExists(file)
     }
-    return 0
+    return ExitCodes.OK
 }
--- a/src/main/kotlin/ledgearch/core/MachineRecords.kt
+++ b/src/main/kotlin/ledgearch/core/MachineRecords.kt
@@ -6,7 +6,6 @@
 import ledgearch.wire.Change
 import ledgearch.wire.KeyValue
 import ledgearch.wire.Rack
-import ledgearch.wire.WireJson
 
 /**
  * The records that bind machines to the block, several machines in one: a record each would take longer to write than
@@ -196,7 +195,7 @@
     private fun value(group: Group): JsonElement {
         val members = group.machines.values
         val racks = members.map { it.rack }.distinct()
-        return WireJson.encodeToJsonElement(
+        return encodeRecord(
             MachinesRecord.serializer(),
             MachinesRecord(
                 0,
@@ -239,15 +238,15 @@
 
     /** With the comma after it. */
     private fun entryBytes(m: Machine) =
-        bytes(WireJson.encodeToJsonElement(MachineEntry.serializer(), entry(m, ANY_RACK, quarantined = true))) + 1
+        bytes(encodeRecord(MachineEntry.serializer(), entry(m, ANY_RACK, quarantined = true))) + 1
 
-    private fun rackBytes(rack: Rack) = bytes(WireJson.encodeToJsonElement(Rack.serializer(), rack)) + 1
+    private fun rackBytes(rack: Rack) = bytes(encodeRecord(Rack.serializer(), rack)) + 1
 
     private companion object {
         /** Of a record without machines. */
         val EMPTY_BYTES =
             bytes(
-                WireJson.encodeToJsonElement(MachinesRecord.serializer(), MachinesRecord(0, emptyList(), emptyList())),
+                encodeRecord(MachinesRecord.serializer(), MachinesRecord(0, emptyList(), emptyList())),
             )
 
         /** As long a number as the place of a machine's type can be. */
--- a/src/main/kotlin/ledgearch/core/RecordWriter.kt
+++ b/src/main/kotlin/ledgearch/core/RecordWriter.kt
@@ -1,7 +1,5 @@
 package ledgearch.core
 
-import kotlinx.serialization.KSerializer
-import kotlinx.serialization.json.JsonElement
 import ledgearch.Tuning
 import ledgearch.leader.Election
 import ledgearch.state.Lane
@@ -10,7 +8,6 @@
 import ledgearch.wire.Change
 import ledgearch.wire.Condition
 import ledgearch.wire.KeyValue
-import ledgearch.wire.WireJson
 import ledgearch.wire.WorkStates
 import org.slf4j.LoggerFactory
 import java.util.BitSet
@@ -138,7 +135,7 @@
      * catalog.
      */
     fun catalog(record: CatalogRecord) {
-        catalog = record.takeIf { bytes(encode(CatalogRecord.serializer(), it)) <= valueBytes }
+        catalog = record.takeIf { bytes(encodeRecord(CatalogRecord.serializer(), it)) <= valueBytes }
         if (catalog == null) log.warn("the catalog of {} machine types is too large to be kept", record.racks.size)
     }
 
@@ -230,7 +227,7 @@
             val record = FinalRecord(finalState, if (finalState == WorkStates.DONE) job.spec.portions else 0)
             val changes =
                 listOf(
-                    Change(put = Keys.final(id), v = encode(FinalRecord.serializer(), record)),
+                    Change(put = Keys.final(id), v = encodeRecord(FinalRecord.serializer(), record)),
                     Change(remove = Keys.job(id)),
                 )
             if (!batch.add(Entry(changes, job) { jobClosed(job, record) })) return
@@ -252,7 +249,7 @@
                 written.map { (chunk, tasks) ->
                     Change(
                         put = Keys.finished(job.id, chunk),
-                        v = encode(FinishedRecord.serializer(), FinishedRecord(Ranges.encode(tasks))),
+                        v = encodeRecord(FinishedRecord.serializer(), FinishedRecord(Ranges.encode(tasks))),
                     )
                 }
             if (!batch.add(Entry(changes) { progressWritten(job, written) })) return
@@ -262,7 +259,7 @@
         }
         catalog?.let { record ->
             batch.add(
-                Entry(listOf(Change(put = Keys.CATALOG, v = encode(CatalogRecord.serializer(), record)))) {
+                Entry(listOf(Change(put = Keys.CATALOG, v = encodeRecord(CatalogRecord.serializer(), record)))) {
                     if (catalog ===
                         record
                     ) {
@@ -312,9 +309,4 @@
         if (jobStore.jobs[job.id] !== job) written.keys.forEach { removals.add(Keys.finished(job.id, it)) }
         if (job.finished == job.recorded) progress.remove(job.id)
     }
-
-    private fun <T> encode(
-        serializer: KSerializer<T>,
-        value: T,
-    ): JsonElement = WireJson.encodeToJsonElement(serializer, value)
 }
--- a/src/main/kotlin/ledgearch/core/Records.kt
+++ b/src/main/kotlin/ledgearch/core/Records.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.json.JsonElement
 import ledgearch.wire.Rack
 import ledgearch.wire.WireJson
@@ -24,6 +25,12 @@
         null
     }
 
+/** A record as it is stored. */
+internal fun <T> encodeRecord(
+    serializer: SerializationStrategy<T>,
+    record: T,
+): JsonElement = WireJson.encodeToJsonElement(serializer, record)
+
 /** What the state service holds; every key of the service is named here. */
 internal object Keys {
     /** Watched by every node: grants, open jobs, final states, the catalog. */
--- a/src/main/kotlin/ledgearch/intake/SubmissionBatch.kt
+++ b/src/main/kotlin/ledgearch/intake/SubmissionBatch.kt
@@ -4,10 +4,10 @@
 import ledgearch.core.FinalRecord
 import ledgearch.core.JobRecord
 import ledgearch.core.Keys
+import ledgearch.core.encodeRecord
 import ledgearch.http.Response
 import ledgearch.wire.Change
 import ledgearch.wire.Condition
-import ledgearch.wire.WireJson
 import ledgearch.wire.WorkStates
 
 /** A job that is to be accepted, and who waits for it. [endedDependencies]: final records that were read for it. */
@@ -76,11 +76,11 @@
 
     private fun withdrawnChange(id: String): Change {
         val record = FinalRecord(WorkStates.WITHDRAWN)
-        return Change(put = Keys.final(id), v = WireJson.encodeToJsonElement(FinalRecord.serializer(), record))
+        return Change(put = Keys.final(id), v = encodeRecord(FinalRecord.serializer(), record))
     }
 
     private fun openChange(record: JobRecord) =
-        Change(put = Keys.job(record.spec.ref), v = WireJson.encodeToJsonElement(JobRecord.serializer(), record))
+        Change(put = Keys.job(record.spec.ref), v = encodeRecord(JobRecord.serializer(), record))
 
     private fun sizeOf(change: Change): Int {
         val text = change.v.toString()
--- a/src/main/kotlin/ledgearch/intake/Withdrawals.kt
+++ b/src/main/kotlin/ledgearch/intake/Withdrawals.kt
@@ -6,13 +6,13 @@
 import ledgearch.core.Keys
 import ledgearch.core.Now
 import ledgearch.core.decodeRecord
+import ledgearch.core.encodeRecord
 import ledgearch.state.Lane
 import ledgearch.state.StateClient
 import ledgearch.state.TxnResult
 import ledgearch.wire.Change
 import ledgearch.wire.Condition
 import ledgearch.wire.KeyValue
-import ledgearch.wire.WireJson
 
 /**
  * Withdrawals of jobs: marks the open record as cancelled, which makes the user's wish durable, and answers once the
@@ -119,7 +119,7 @@
         val id = record.spec.ref
         if (now.steady < (markAgainAt[id] ?: Long.MIN_VALUE)) return
         markAgainAt[id] = now.steady + Tuning.STATE_MS
-        val value = WireJson.encodeToJsonElement(JobRecord.serializer(), record.copy(cancel = true))
+        val value = encodeRecord(JobRecord.serializer(), record.copy(cancel = true))
         val condition = Condition(Keys.job(id), stamp)
         val change = Change(put = Keys.job(id), v = value)
         state.txn(listOf(condition), listOf(change), Lane.ORDINARY) { marked(id, it) }
--- a/src/main/kotlin/ledgearch/leader/Election.kt
+++ b/src/main/kotlin/ledgearch/leader/Election.kt
@@ -1,7 +1,5 @@
 package ledgearch.leader
 
-import kotlinx.serialization.KSerializer
-import kotlinx.serialization.json.JsonElement
 import ledgearch.Tuning
 import ledgearch.core.GrantRecord
 import ledgearch.core.JobStore
@@ -9,13 +7,13 @@
 import ledgearch.core.Now
 import ledgearch.core.SilenceRecord
 import ledgearch.core.decodeRecord
+import ledgearch.core.encodeRecord
 import ledgearch.state.Lane
 import ledgearch.state.ReadResult
 import ledgearch.state.StateClient
 import ledgearch.state.TxnResult
 import ledgearch.wire.Change
 import ledgearch.wire.Condition
-import ledgearch.wire.WireJson
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
@@ -129,7 +127,7 @@
 
     private fun silenceChange(): Change {
         val record = SilenceRecord(node, now.wall)
-        return Change(put = Keys.silence(0), v = encode(SilenceRecord.serializer(), record))
+        return Change(put = Keys.silence(0), v = encodeRecord(SilenceRecord.serializer(), record))
     }
 
     /** A leader before this one has given the block up of late, and the change of leader did not help. */
@@ -271,15 +269,10 @@
     private fun put(over: Long = 0) =
         Change(
             put = Keys.grant(0),
-            v = encode(GrantRecord.serializer(), GrantRecord(node, life, over)),
+            v = encodeRecord(GrantRecord.serializer(), GrantRecord(node, life, over)),
             permit = permit,
         )
 
-    private fun <T> encode(
-        serializer: KSerializer<T>,
-        value: T,
-    ): JsonElement = WireJson.encodeToJsonElement(serializer, value)
-
     private fun claim(stamp: Long) {
         claiming = true
         val sentAt = now.steady
