--- a/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
@@ -79,7 +79,7 @@
         token = maxOf(token, seenToken)
         for (order in orders) {
             when (order.verb) {
-                Verbs.START -> tasks[order.portion] = PortionReport(order.portion, order.`try`, PortionStates.RUNNING)
+                Verbs.START -> tasks[order.portion] = PortionReport(order.portion, order.attempt, PortionStates.RUNNING)
                 else -> tasks.remove(order.portion)
             }
         }
--- a/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
+++ b/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
@@ -122,7 +122,7 @@
     private fun push(m: Machine) {
         val list = orders(m)
         if (list.isEmpty()) return
-        val started = list.filter { it.verb == Verbs.START }.mapNotNull { m.placements.get(it.`try`) }
+        val started = list.filter { it.verb == Verbs.START }.mapNotNull { m.placements.get(it.attempt) }
         started.forEach { it.pushOpen = true }
         m.pushing = true
         callsOpen++
--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -253,7 +253,7 @@
         // The orders are carried out or dropped before the worker's next report.
         val orders = dispatcher.orders(m)
         for (order in orders) {
-            val p = if (order.verb == Verbs.START) m.placements.get(order.`try`) else null
+            val p = if (order.verb == Verbs.START) m.placements.get(order.attempt) else null
             if (p != null) p.sentInReplyTo = maxOf(p.sentInReplyTo, report.ticket)
         }
         return orders
--- a/src/main/kotlin/ledgearch/core/TaskStatusHandler.kt
+++ b/src/main/kotlin/ledgearch/core/TaskStatusHandler.kt
@@ -27,7 +27,7 @@
         entries: List<PortionReport>,
     ) {
         for (entry in entries) {
-            val known = m.placements.get(entry.`try`)
+            val known = m.placements.get(entry.attempt)
             val p = known ?: found(m, entry)
             p.listedAt = m.ticket
             update(p, entry)
@@ -50,7 +50,7 @@
         val id = entry.portion.substringBefore('/')
         val index = entry.portion.substringAfter('/', "").toIntOrNull() ?: -1
         val job = jobStore.jobs[id]?.takeIf { index in 0 until it.spec.portions && !it.placements.containsKey(index) }
-        val p = Placement(job, entry.portion, index, entry.`try`, m, now.steady, inherited = true)
+        val p = Placement(job, entry.portion, index, entry.attempt, m, now.steady, inherited = true)
         m.attach(p)
         if (job == null) {
             p.stop = Stop.AT_ONCE
--- a/src/main/kotlin/ledgearch/wire/Workers.kt
+++ b/src/main/kotlin/ledgearch/wire/Workers.kt
@@ -1,12 +1,14 @@
 package ledgearch.wire
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** One task on a machine, as its worker tells it. */
 @Serializable
 data class PortionReport(
     val portion: String,
-    val `try`: Long,
+    @SerialName("try")
+    val attempt: Long,
     val status: String,
     val cause: String? = null,
     val saved: Boolean = false,
@@ -31,7 +33,8 @@
 data class Order(
     val verb: String,
     val portion: String,
-    val `try`: Long,
+    @SerialName("try")
+    val attempt: Long,
     val cooldownS: Double? = null,
 )
 
--- a/src/test/kotlin/ledgearch/simulation/WorkerStandIn.kt
+++ b/src/test/kotlin/ledgearch/simulation/WorkerStandIn.kt
@@ -184,7 +184,7 @@
     }
 
     private fun execute(order: Order) {
-        val task = tasks[order.`try`]
+        val task = tasks[order.attempt]
         when (order.verb) {
             Verbs.START -> {
                 if (task == null) start(order)
@@ -196,7 +196,7 @@
 
             Verbs.CLEAR -> {
                 if (task != null && task.status == "exited") {
-                    tasks.remove(order.`try`)
+                    tasks.remove(order.attempt)
                     changed = true
                 }
             }
@@ -204,7 +204,7 @@
     }
 
     private fun start(order: Order) {
-        val task = Task(order.portion, order.`try`)
+        val task = Task(order.portion, order.attempt)
         val busy = tasks.values.any { it.portion == order.portion && it.status != "exited" }
         tasks[task.attempt] = task
         changed = true
