--- a/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
@@ -69,7 +69,7 @@
 
     private fun carryOut(reply: Reply) {
         val answer = WireJson.decodeFromString(CheckInReply.serializer(), reply.body)
-        carryOut(answer.baton, answer.orders)
+        carryOut(answer.token, answer.orders)
     }
 
     private fun carryOut(
@@ -94,7 +94,7 @@
                 hall = "z",
                 shift = 1,
                 ticket = ++sequence,
-                baton = token,
+                token = token,
                 portions = tasks.values.toList(),
             )
         return WireJson.encodeToString(CheckIn.serializer(), report)
@@ -146,7 +146,7 @@
 
     private fun orders(request: Request): Response {
         val command = WireJson.decodeFromString(OrdersRequest.serializer(), request.body)
-        carryOut(command.baton, command.orders)
+        carryOut(command.token, command.orders)
         return Response(OK, report())
     }
 
--- a/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
+++ b/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
@@ -133,7 +133,7 @@
             callsOpen--
             for (p in started) {
                 p.pushOpen = false
-                if (answer == null && m.baton <= token && isHere(m)) {
+                if (answer == null && m.token <= token && isHere(m)) {
                     p.lostToken = token
                     lossy.add(m)
                 }
--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -236,8 +236,8 @@
 
     /** Null when this node may not answer for the block. */
     fun report(report: CheckIn): List<Order>? {
-        if (report.baton > election.token) {
-            election.lose("a worker has seen token ${report.baton}")
+        if (report.token > election.token) {
+            election.lose("a worker has seen token ${report.token}")
             return null
         }
         if (!takeover.machinesRead) return emptyList()
@@ -276,10 +276,10 @@
         m: Machine,
         answer: CheckIn,
     ) {
-        if (answer.baton >
+        if (answer.token >
             election.token
         ) {
-            election.lose("a worker has seen token ${answer.baton}")
+            election.lose("a worker has seen token ${answer.token}")
         } else {
             hear(m, answer, isReport = false)
         }
@@ -324,7 +324,7 @@
         // The first word of a session: it began before, and has a whole lease from then on without any answer of ours.
         if (m.ticket == 0L) m.answeredAt = now.steady
         // Of a machine that has not confirmed the token, a report without it may be a copy as old as an earlier leader.
-        val current = !isReport || m.confirmed || report.baton >= term
+        val current = !isReport || m.confirmed || report.token >= term
         if (isReport && report.ticket > m.reportTicket) {
             m.reportTicket = report.ticket
             m.reportAt = now.steady
@@ -338,14 +338,14 @@
         if (current) m.heardAt = now.steady
         if (!m.pushBroken && m.confirmed) m.probesFailed = 0
         m.recallAt = if (report.recallS == null) 0 else now.steady + (report.recallS * 1000).toLong()
-        if (report.baton > m.baton) {
-            m.baton = report.baton
-            if (report.baton == election.token && m.confirmed) dispatcher.reached(m)
-            for (p in m.placements.values) if (p.lostToken in 1 until m.baton) p.lostToken = 0
+        if (report.token > m.token) {
+            m.token = report.token
+            if (report.token == election.token && m.confirmed) dispatcher.reached(m)
+            for (p in m.placements.values) if (p.lostToken in 1 until m.token) p.lostToken = 0
         }
         if (!m.confirmed) {
             // One without a record is shown the token directly: the report may be a copy, and the machine gone.
-            if (report.baton < term || !ready || (isReport && !m.inherited)) return
+            if (report.token < term || !ready || (isReport && !m.inherited)) return
             m.confirm()
             dispatcher.reached(m)
             unconfirmed.remove(m)
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -30,7 +30,7 @@
 
     /** Steady ms at which the report with that ticket first came. */
     var reportAt = 0L
-    var baton = 0L
+    var token = 0L
 
     /** All attempts that may be on the machine, by attempt. */
     val placements = Long2ObjectLinkedOpenHashMap<Placement>()
--- a/src/main/kotlin/ledgearch/wire/Workers.kt
+++ b/src/main/kotlin/ledgearch/wire/Workers.kt
@@ -24,7 +24,8 @@
     val borrowed: Boolean = false,
     val shift: Long,
     val ticket: Long,
-    val baton: Long = 0,
+    @SerialName("baton")
+    val token: Long = 0,
     val recallS: Double? = null,
     val portions: List<PortionReport> = emptyList(),
 )
@@ -40,13 +41,15 @@
 
 @Serializable
 data class CheckInReply(
-    val baton: Long,
+    @SerialName("baton")
+    val token: Long,
     val orders: List<Order>,
 )
 
 @Serializable
 data class OrdersRequest(
-    val baton: Long,
+    @SerialName("baton")
+    val token: Long,
     val shift: Long,
     val orders: List<Order>,
 )
--- a/src/test/kotlin/ledgearch/simulation/WorkerStandIn.kt
+++ b/src/test/kotlin/ledgearch/simulation/WorkerStandIn.kt
@@ -33,7 +33,7 @@
     var shift = 1L
         private set
     private var ticket = 0L
-    private var baton = 0L
+    private var token = 0L
     private var target = 0
     private var waitingSince = -1L
     private var reportSeq = 0L
@@ -84,7 +84,7 @@
         tasks.clear()
         shift = 1
         ticket = 0
-        baton = 0
+        token = 0
         lastAnswered = clock.now
         reportSeq++
         waitingSince = -1
@@ -100,7 +100,7 @@
             borrowed,
             shift,
             ++ticket,
-            baton,
+            token,
             if (recallAt > 0) (recallAt - clock.now) / 1000.0 else null,
             tasks.values.filter { it.attempt !in hidden }.map(::reportOf),
         )
@@ -127,9 +127,9 @@
                 200 -> {
                     waitingSince = -1
                     val answer = WireJson.decodeFromString(CheckInReply.serializer(), reply.body)
-                    if (answer.baton >= baton) {
-                        if (answer.baton > baton) changed = true
-                        baton = answer.baton
+                    if (answer.token >= token) {
+                        if (answer.token > token) changed = true
+                        token = answer.token
                         lastAnswered = sentAt
                         answer.orders.forEach(::execute)
                     }
@@ -175,9 +175,9 @@
         }
         if (path == "/show") return answer(Reply(200, WireJson.encodeToString(CheckIn.serializer(), snapshot())))
         val request = WireJson.decodeFromString(OrdersRequest.serializer(), body.orEmpty())
-        val valid = request.baton >= baton && request.shift == shift
+        val valid = request.token >= token && request.shift == shift
         if (valid) {
-            baton = maxOf(baton, request.baton)
+            token = maxOf(token, request.token)
             request.orders.forEach(::execute)
         }
         answer(Reply(if (valid) 200 else 409, WireJson.encodeToString(CheckIn.serializer(), snapshot())))
