Search: token renewals that another controller's claim meets

Need: the random search had not found that a leader which renews its token starts jobs accepted under a newer grant: no fault made a healthy controller refuse its peers, slowed only the way to the state service, or submitted through followers.

--- a/src/test/kotlin/ledgearch/simulation/ProductionFaults.kt
+++ b/src/test/kotlin/ledgearch/simulation/ProductionFaults.kt
@@ -140,7 +140,7 @@
             ::cancelAtEnds,
             ::cancelManyNeeded,
             ::cutZoneBothWays,
-        )
+        ) + ContestedRenewals(simulation).all
 
     private companion object {
         const val MANY = 60
--- a/src/test/kotlin/ledgearch/simulation/ProductionSteps.kt
+++ b/src/test/kotlin/ledgearch/simulation/ProductionSteps.kt
@@ -5,6 +5,7 @@
     simulation: Simulation,
 ) : StepFamily(simulation) {
     private val workload = ProductionWorkload(simulation)
+    private val renewals = ContestedRenewals(simulation)
 
     override val actions =
         mapOf<String, (Step) -> Unit>(
@@ -14,6 +15,7 @@
             "settled" to { simulation.rules.auditLooks.beginSettled() },
             "slow-controller" to ::slowController,
             "late-commands" to ::delayCommands,
+            "contested-renewals" to ::contestRenewals,
             "list-lag" to { step -> simulation.cloud.listLagMs = step.milliseconds(1) },
         )
 
@@ -37,4 +39,10 @@
         simulation.lateCommands = step.words[1].toDouble()
         simulation.clock.at(step.milliseconds(3)) { simulation.lateCommands = 0.0 }
     }
+
+    /** contested-renewals COUNT every S: another controller claims the block while the leader renews its token. */
+    private fun contestRenewals(step: Step) =
+        repeat(step.words[1].toInt()) { index ->
+            simulation.clock.after(index * step.milliseconds(3)) { renewals.contest() }
+        }
 }
