--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -177,6 +177,38 @@
     /** ms. Such word counts this long: the leader speaks every second, and may be late. */
     const val OUTAGE_HEARD_MS = 3_000L
 
+    // --- Warm standby ------------------------------------------------------------------------------------------
+
+    /** ms. Between two frames of the decision stream: a second of decisions is little to find out at a take-over. */
+    const val STREAM_MS = 1_000L
+
+    /** Bytes. Records in one frame on a whole processor; a snapshot of a thousand machines then takes some 10 s. */
+    const val STREAM_FRAME_BYTES = 64 * 1024
+
+    /** Bytes. The same on the smallest share of a processor: some 4 KiB is encoded in well under a millisecond. */
+    const val STREAM_FRAME_LEAST = 4 * 1024
+
+    /** Bytes. A longer frame is malformed: a full one and the largest record, of a machine with all its tasks. */
+    const val STREAM_FRAME_MAX = 256 * 1024
+
+    /** Bytes. The state that is streamed and the replica each take so much of the heap's 96 MB at most. */
+    const val REPLICA_BYTES = 4L * 1024 * 1024
+
+    /** ms. So much of the spread of the first try for a free grant goes by the lag: the rest settles equal lags. */
+    const val HEAD_START_MS = 50L
+
+    /** ms. With this lag or a longer one a candidate has no head start: leaders are replaced within this time. */
+    const val HEAD_START_LAG_MS = 10_000L
+
+    /** Logarithm. Run times further off their estimates than by a factor of 1000 are not believed. */
+    const val RUN_TIME_HINT_MAX = 6.9
+
+    /** ms. A machine that the last leader was returning gets nothing new: by then the cloud's list tells. */
+    const val RETURNING_HINT_MS = 10_000L
+
+    /** ms. A machine that the last leader had rented counts as coming: by then the cloud's list shows it. */
+    const val RENTED_HINT_MS = 10_000L
+
     // --- Mesh -------------------------------------------------------------------------------------------------
 
     /** Connections. Other controllers that may follow this one; a deployment has a handful. */
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -23,6 +23,7 @@
 import ledgearch.mesh.LeaderStatus
 import ledgearch.mesh.MeshEvents
 import ledgearch.mesh.MeshLinks
+import ledgearch.standby.StandbyEvent
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.nio.channels.AsynchronousChannelGroup
@@ -47,7 +48,7 @@
     private val client = HttpClient(group, (settings.deployment.quota.fdLimit * Tuning.OUTGOING_SHARE).toInt())
     private val queue = OwnerQueue()
     private val random = Random(System.nanoTime() xor settings.node.hashCode().toLong())
-    private val mesh = MeshLinks(scope, group, OwnerEvents())
+    private val mesh = MeshLinks(scope, group, OwnerEvents(), settings.operator.standby.enabled)
     private val controller =
         Controller(settings, SocketTransport(), mesh, random, random.nextLong(Long.MAX_VALUE), System::nanoTime)
 
@@ -123,6 +124,8 @@
     private inner class OwnerEvents : MeshEvents {
         override suspend fun news(news: LeaderStatus) = queue.put(Command.News(news))
 
+        override suspend fun standby(event: StandbyEvent) = queue.put(Command.Standby(event))
+
         override suspend fun refused(address: String) = queue.put(Command.PeerRefused(address))
     }
 
--- a/src/main/kotlin/ledgearch/config/OperatorSettings.kt
+++ b/src/main/kotlin/ledgearch/config/OperatorSettings.kt
@@ -17,4 +17,12 @@
     val reserveDeviations: Double = Tuning.RESERVE_DEVIATIONS,
     /** Seconds after which users who are turned away are told to come back. */
     val retryAfterS: Int = Tuning.RETRY_AFTER_S,
+    val standby: StandbySettings = StandbySettings(),
+)
+
+/** Following the leader's decisions, to be quicker when it is to be replaced. */
+@Serializable
+data class StandbySettings(
+    /** This node streams its state to followers while it leads, and keeps a replica while it does not. */
+    val enabled: Boolean = false,
 )
--- a/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
+++ b/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
@@ -156,7 +156,7 @@
         val body =
             WireJson.encodeToString(
                 OrdersRequest.serializer(),
-                OrdersRequest(election.token, maxOf(m.shift, 1L), list),
+                OrdersRequest(election.token, m.sessionToName, list),
             )
         val shift = m.shift
         val ticket = m.ticket
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -13,6 +13,9 @@
 import ledgearch.mesh.LeaderStatus
 import ledgearch.mesh.Mesh
 import ledgearch.mesh.Progress
+import ledgearch.standby.LeaderImage
+import ledgearch.standby.StandbyEvent
+import ledgearch.standby.WarmStandby
 import ledgearch.state.StateClient
 import ledgearch.wire.CheckIn
 import ledgearch.wire.CheckInReply
@@ -34,6 +37,11 @@
         val news: LeaderStatus,
     ) : Command
 
+    /** News of a decision stream between the leader and a standby. */
+    class Standby(
+        val event: StandbyEvent,
+    ) : Command
+
     /** The controller at this mesh address refuses connections after one of its own ended. */
     class PeerRefused(
         val address: String,
@@ -58,7 +66,7 @@
     settings: Settings,
     transport: Transport,
     private val mesh: Mesh,
-    random: Random,
+    private val random: Random,
     life: Long,
     nanos: () -> Long,
     finalsKept: Long = Tuning.FINAL_CACHE,
@@ -73,13 +81,23 @@
     private val state =
         StateClient(settings.outside.state, settings.deployment.state, settings.members.size + 1, metered, now)
     private val jobStore = JobStore(state, now, JobStoreEvents(), DependencyEvents(), finalsKept)
-    private val election: Election = Election(node, life, state, { jobStore }, now, random, ElectionEvents())
+    private val election: Election =
+        Election(node, life, state, { jobStore }, now, random, ElectionEvents(), ::claimDelayMs)
     private val recordWriter = RecordWriter(state, election, jobStore, now, settings.deployment.state.safeValueBytes)
     private val stalls = StallCompensation(now, metrics)
     private val fleet: Fleet = Fleet(settings, metered, { election }, { jobStore }, now, stalls) { recordWriter }
     private val leader = Leader(settings, state, metered, election, jobStore, now, recordWriter, fleet, metrics, stalls)
     private val intake = Intake(settings, jobStore, state, GrantEvents(), now)
 
+    /** Null unless the operators have switched it on. */
+    val standby: WarmStandby? =
+        if (settings.operator.standby.enabled) {
+            val image = LeaderImage(leader, jobStore, fleet, Tuning.REPLICA_BYTES)
+            WarmStandby(node, mesh, now, settings.deployment.quota.cpu, image)
+        } else {
+            null
+        }
+
     /** The state service has been read: callers need not be turned away. */
     val isReady: Boolean get() = jobStore.loaded
 
@@ -110,6 +128,7 @@
         guarded { metrics.spend("intake") { intake.drive() } }
         guarded { leader.drive() }
         guarded { tellProgress() }
+        if (standby != null) guarded { metrics.spend("standby") { standby.drive(election.holding && leader.ready) } }
         guarded { metrics.spend("state") { state.pump() } }
         logLoad()
     }
@@ -129,6 +148,10 @@
                 heard(command.news)
             }
 
+            is Command.Standby -> {
+                standby?.handle(command.event, jobStore.grant?.node?.let { members[it] })
+            }
+
             is Command.PeerRefused -> {
                 members.entries.firstOrNull { it.value == command.address }?.let { election.challenge(it.key) }
             }
@@ -233,8 +256,15 @@
             leader.machines.values.sumOf {
                 it.placements.size
             },
+            standby?.report(election.holding),
         )
 
+    /** The more current replica has a head start; the longest wait is the same with and without it. */
+    private fun claimDelayMs(): Long {
+        val headStartMs = standby?.headStartMs() ?: return random.nextLong(Tuning.ELECTION_SPREAD_MS)
+        return headStartMs + random.nextLong(Tuning.ELECTION_SPREAD_MS - Tuning.HEAD_START_MS)
+    }
+
     /**
      * Users are better served elsewhere while the state service refuses this node alone. In an outage nobody serves
      * them better, and nodes that all stepped aside would be long in coming back: what is known for good is answered,
@@ -269,12 +299,16 @@
         return Response(421, WireJson.encodeToString(Misdirected.serializer(), Misdirected(other)))
     }
 
+    /** ms from this leader's grant until every recorded machine was confirmed; null before, and on other nodes. */
+    val takeoverMs: Long? get() = leader.takeoverMs
+
     /** Whether the counts kept of machines and teams are those of a recount. */
     fun countsHold() = !election.holding || leader.countsHold()
 
     private inner class JobStoreEvents : JobStoreListener {
         override fun grantChanged() {
             election.grantChanged()
+            standby?.grantChanged(jobStore.grant, jobStore.grantStamp)
             mesh.follow(jobStore.grant?.node?.let { members[it] })
             log.info("block 0: leader {} by grant {}", jobStore.grant?.node ?: "none", jobStore.grantStamp)
         }
@@ -311,10 +345,13 @@
             token: Long,
             fresh: Boolean,
         ) {
-            if (fresh) leader.begin(token)
+            if (fresh) leader.begin(token, standby?.begin(token))
         }
 
-        override fun lost() = leader.end()
+        override fun lost() {
+            leader.end()
+            standby?.end()
+        }
     }
 
     private inner class GrantEvents : GrantView {
--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -11,6 +11,7 @@
 import ledgearch.fleet.Fleet
 import ledgearch.fleet.Reserve
 import ledgearch.leader.Election
+import ledgearch.standby.TakeoverHints
 import ledgearch.state.StateClient
 import ledgearch.wire.CheckIn
 import ledgearch.wire.Order
@@ -90,14 +91,22 @@
     /** The first token of this term: a worker that has seen it no longer follows any earlier leader. */
     private var term = 0L
     private var attemptSeq = 0L
-    private val takeover = Takeover(state, jobStore, recordWriter, teams, now, ::join)
+    private val takeover = Takeover(state, jobStore, recordWriter, teams, now, ::joinFromRecord)
     private val tasks =
         TaskStatusHandler(jobStore, machines, estimates, recordWriter, metrics, now, dispatcher::want, ::changed)
     val replicas = Replicas(now, placer::usable) { stop(it) }
 
+    /** What a replica of the replaced leader's state suggests; it proves nothing. */
+    private var hints: TakeoverHints? = null
+
     /** The records of the block are read; from here on machines are confirmed and tasks placed. */
-    private var ready = false
+    var ready = false
+        private set
     private var allConfirmedLogged = false
+
+    /** ms from the grant until every recorded machine was confirmed; null before. */
+    var takeoverMs: Long? = null
+        private set
     private var dirty = true
     private var passAt = Long.MIN_VALUE / 2
     private var countedAt = 0L
@@ -110,8 +119,12 @@
     private val unconfirmed = LinkedHashSet<Machine>()
     private val cancelled = LinkedHashSet<Job>()
 
-    fun begin(token: Long) {
+    fun begin(
+        token: Long,
+        takeoverHints: TakeoverHints? = null,
+    ) {
         end()
+        hints = takeoverHints
         term = token
         attemptSeq = 0
         for (job in jobStore.jobs.values) {
@@ -125,8 +138,10 @@
 
     fun end() {
         term = 0
+        hints = null
         ready = false
         allConfirmedLogged = false
+        takeoverMs = null
         machines.clear()
         unconfirmed.clear()
         cancelled.clear()
@@ -215,6 +230,7 @@
         // Jobs accepted before the grant are in the job store once the watch has passed the grant.
         if (jobStore.revision < term) return
         takeover.drive {
+            useHints()
             ready = true
             dirty = true
             log.info(
@@ -226,6 +242,20 @@
         }
     }
 
+    private fun joinFromRecord(m: Machine) {
+        join(m)
+        hints?.recordRead(m, now)
+    }
+
+    private fun useHints() {
+        val used = hints ?: return
+        hints = null
+        used.takenOver(this, jobStore, fleet, now)
+        val ordered = used.inProbeOrder(unconfirmed)
+        unconfirmed.clear()
+        unconfirmed.addAll(ordered)
+    }
+
     private fun join(m: Machine) {
         machines[m.name] = m
         m.joined()
@@ -505,9 +535,10 @@
         for (m in unconfirmed) dispatcher.probe(m)
         if (allConfirmedLogged || takeover.anyUnreadable || unconfirmed.any { it.inherited }) return
         allConfirmedLogged = true
+        takeoverMs = now.steady - election.grantedAt
         jobStore.jobs.values.forEach { it.trusted = true }
         dirty = true
-        log.info("block 0: every recorded machine is confirmed")
+        log.info("block 0: every recorded machine is confirmed, {} ms after the grant", takeoverMs)
     }
 
     /** A cancelled job is over once none of its tasks can be on a machine, or get there. */
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -25,6 +25,12 @@
     var confirmed = false
         private set
     var shift = 0L
+
+    /** The session that a replica of the last leader's state names, or 0: a first guess, which the worker answers. */
+    var sessionHint = 0L
+
+    /** The session that a command names: the one heard from the worker, or else the best guess. */
+    val sessionToName: Long get() = if (shift != 0L) shift else maxOf(sessionHint, 1L)
     var ticket = 0L
     var reportTicket = 0L
 
--- a/src/main/kotlin/ledgearch/core/Metrics.kt
+++ b/src/main/kotlin/ledgearch/core/Metrics.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import ledgearch.Tuning
+import ledgearch.standby.StandbyReport
 import org.HdrHistogram.IntCountsHistogram
 
 /** Counters, latencies and where the owner's time goes since the process began, as `GET /metrics` shows them. */
@@ -78,6 +79,7 @@
         jobs: Int,
         machines: Int,
         tasks: Int,
+        standby: StandbyReport? = null,
     ) = MetricsReport(
         node,
         token,
@@ -87,6 +89,7 @@
         OwnerLoad(summary(batches), summary(queue), summary(gaps), spentMs()),
         counters.toSortedMap(),
         latencies.toSortedMap().mapValues { (_, h) -> summary(h) },
+        standby,
     )
 
     private fun summary(h: IntCountsHistogram) =
@@ -123,6 +126,7 @@
     val owner: OwnerLoad,
     val counters: Map<String, Long>,
     @SerialName("latency_ms") val latencyMs: Map<String, Summary>,
+    val standby: StandbyReport? = null,
 )
 
 /**
--- a/src/main/kotlin/ledgearch/core/placement/Estimates.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Estimates.kt
@@ -18,6 +18,12 @@
         var weight = 0.0
     }
 
+    /** What was learnt of one class. */
+    internal data class Learnt(
+        val logRatio: Double,
+        val weight: Double,
+    )
+
     private val seen = HashMap<String, Seen>()
 
     fun ran(
@@ -33,6 +39,20 @@
         s.logRatio += (ln(seconds / job.spec.cookS) - s.logRatio) * minOf(1.0, w / s.weight)
     }
 
+    fun learnt(): Map<String, Learnt> = seen.mapValues { (_, s) -> Learnt(s.logRatio, s.weight) }
+
+    /** Takes over what another leader has learnt of a class; what was seen here counts more if it weighs more. */
+    fun learn(
+        jobClass: String,
+        logRatio: Double,
+        weight: Double,
+    ) {
+        val s = seen.getOrPut(jobClass) { Seen() }
+        if (s.weight >= weight) return
+        s.logRatio = logRatio
+        s.weight = weight
+    }
+
     fun seconds(job: Job): Double {
         if (job.runTime.tasks > 0) return job.runTime.mean
         val s = seen[job.spec.menu]
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -75,6 +75,7 @@
     private var rentRetryAt = 0L
     private var bookingSeq = 0L
     private val booting = LinkedHashMap<String, Booting>()
+    private val hinted = RentalHints(now)
     private val exhausted = HashMap<String, Long>()
 
     /** Machines that the list shows as up and that have not reported, and the steady ms since when. */
@@ -86,6 +87,7 @@
 
     fun end() {
         booting.clear()
+        hinted.clear()
         unheard.clear()
         toRelease.clear()
         returned.clear()
@@ -108,6 +110,15 @@
         toRelease.add(m.name)
     }
 
+    /** Machines that were rented and have not reported yet. */
+    fun rentedNotReported(): List<RentalHint> =
+        booting.map { (name, b) ->
+            RentalHint(name, b.pool.rack.label, b.pool.hall, b.pool.borrowed)
+        }
+
+    /** The leader before may have rented this machine, which the cloud's list may not show yet. */
+    fun mayBoot(hint: RentalHint) = hinted.add(hint)
+
     // --- Catalog: on every node ---------------------------------------------------------------------------------
 
     fun driveCatalog(holding: Boolean) {
@@ -286,8 +297,11 @@
                 .filter { !leader.isCutOff(it.pool.hall) }
                 .map { Supply(it.pool.rack, it.pool.hall, it.pool.borrowed) }
                 .toMutableList()
+        val unlisted = hinted.notIn(booting.keys, leader.machines.keys)
+        coming += unlisted.mapNotNull { hint -> jobStore().racks[hint.rack]?.let { Supply(it, hint.zone, hint.spot) } }
         val planned = LinkedHashMap<Pool, Int>()
-        val mayRent = minOf(Tuning.RENT_AT_ONCE, settings.operator.maxMachines - leader.machines.size - booting.size)
+        val known = leader.machines.size + booting.size + unlisted.size
+        val mayRent = minOf(Tuning.RENT_AT_ONCE, settings.operator.maxMachines - known)
         var freed = 0.0
         val churnIn by lazy(LazyThreadSafetyMode.NONE) { leader.estimates.freedASecondByZone(leader.machines.values) }
         for (need in needs) {
--- a/src/main/kotlin/ledgearch/leader/Election.kt
+++ b/src/main/kotlin/ledgearch/leader/Election.kt
@@ -42,6 +42,8 @@
     private val now: Now,
     private val random: Random,
     private val listener: ElectionListener,
+    /** ms that this node waits before it claims a free grant. */
+    private val claimDelayMs: () -> Long = { random.nextLong(Tuning.ELECTION_SPREAD_MS) },
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.leader")
     private var permit = 0L
@@ -93,7 +95,7 @@
      */
     fun grantChanged() {
         compareJobStore()
-        claimAt = now.steady + random.nextLong(Tuning.ELECTION_SPREAD_MS)
+        claimAt = now.steady + claimDelayMs()
     }
 
     /** The grant in the job store is the one held, the one that took its place, or this node holds nothing any more. */
--- a/src/main/kotlin/ledgearch/mesh/MeshLinks.kt
+++ b/src/main/kotlin/ledgearch/mesh/MeshLinks.kt
@@ -15,8 +15,10 @@
 import ledgearch.http.parseAddress
 import ledgearch.http.readSome
 import ledgearch.http.writeAll
+import ledgearch.standby.StandbyEvent
 import okio.Buffer
 import okio.ByteString
+import okio.ByteString.Companion.toByteString
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.net.ConnectException
@@ -28,6 +30,8 @@
 internal interface MeshEvents {
     suspend fun news(news: LeaderStatus)
 
+    suspend fun standby(event: StandbyEvent)
+
     /** The connection to [address] ended and new ones are refused: most likely its process has ended. */
     suspend fun refused(address: String)
 }
@@ -37,9 +41,22 @@
     private val scope: CoroutineScope,
     private val group: AsynchronousChannelGroup,
     private val events: MeshEvents,
+    /** Warm standby is on: followers may ask for the decision stream, and this node asks for it. */
+    private val streams: Boolean = false,
 ) : Mesh {
+    private class Follower(
+        val queue: Channel<ByteString>,
+        val channel: AsynchronousSocketChannel,
+    ) {
+        /** Its feeding ends too, which forgets it. */
+        fun end() {
+            queue.cancel()
+            channel.closeQuietly()
+        }
+    }
+
     private val log = LoggerFactory.getLogger("ledgearch.mesh")
-    private val followers = HashSet<Channel<ByteString>>()
+    private val followers = HashMap<Long, Follower>()
     private var following: String? = null
     private var link: Job? = null
     override var joined = 0
@@ -58,24 +75,66 @@
     private suspend fun feed(channel: AsynchronousSocketChannel) {
         // Small: a follower that does not keep up is dropped, and comes back for the whole.
         val queue = Channel<ByteString>(Tuning.MESH_QUEUE)
-        followers.add(queue)
-        joined++
+        val follower = (++joined).toLong()
+        val connection = Follower(queue, channel)
+        followers[follower] = connection
+        if (streams) scope.launch { awaitHello(connection, follower) }
         try {
-            while (true) {
-                channel.writeAll(ByteBuffer.wrap(queue.receive().toByteArray()), Tuning.WRITE_MS)
-            }
+            for (frame in queue) channel.writeAll(ByteBuffer.wrap(frame.toByteArray()), Tuning.WRITE_MS)
         } catch (_: IOException) {
             // The follower went away.
         } finally {
-            followers.remove(queue)
+            followers.remove(follower)
             channel.closeQuietly()
+            if (streams) events.standby(StandbyEvent.FollowerLeft(follower))
+        }
+    }
+
+    /** An earlier version, or a node without standby, never writes anything: it is sent no stream. */
+    private suspend fun awaitHello(
+        connection: Follower,
+        follower: Long,
+    ) {
+        val bytes = ByteBuffer.allocate(StreamFrames.hello.size)
+        try {
+            while (bytes.hasRemaining()) {
+                if (connection.channel.readSome(bytes, NO_TIMEOUT) < 0) return connection.end()
+            }
+        } catch (_: IOException) {
+            return connection.end()
+        }
+        if (bytes.array().toByteString() == StreamFrames.hello) {
+            events.standby(StandbyEvent.FollowerJoined(follower))
+        } else {
+            log.warn("follower {} said something else than a hello; its connection is closed", follower)
+            connection.end()
         }
     }
 
+    override fun stream(
+        follower: Long,
+        body: ByteString,
+    ): Boolean {
+        val connection = followers[follower] ?: return false
+        if (connection.queue.trySend(StreamFrames.encode(body)).isSuccess) return true
+        connection.end()
+        return false
+    }
+
+    override fun reconnect() {
+        val address = following ?: return
+        link?.cancel()
+        link =
+            scope.launch {
+                delay(Tuning.MESH_RETRY_MS)
+                keep(address)
+            }
+    }
+
     override fun publish(news: LeaderStatus) {
         if (followers.isEmpty()) return
         val frame = Frames.encode(news)
-        followers.forEach { it.trySend(frame) }
+        followers.values.forEach { it.queue.trySend(frame) }
     }
 
     override fun follow(address: String?) {
@@ -97,7 +156,8 @@
                     }
                 if (connected != null) {
                     refusals = 0
-                    read(channel)
+                    if (streams) channel.writeAll(StreamFrames.hello.asByteBuffer(), Tuning.WRITE_MS)
+                    read(channel, address)
                 }
             } catch (e: CancellationException) {
                 throw e
@@ -114,7 +174,10 @@
         }
     }
 
-    private suspend fun read(channel: AsynchronousSocketChannel) {
+    private suspend fun read(
+        channel: AsynchronousSocketChannel,
+        address: String,
+    ) {
         val bytes = ByteBuffer.allocate(Tuning.READ_BUFFER)
         val buffer = Buffer()
         while (true) {
@@ -122,7 +185,26 @@
             val n = channel.readSome(bytes, Tuning.MESH_SILENT_MS)
             if (n < 0) return
             buffer.write(bytes.array(), 0, n)
-            while (true) events.news(Frames.take(buffer) ?: break)
+            while (true) tell(address, StreamFrames.take(buffer) ?: break)
         }
     }
+
+    private suspend fun tell(
+        address: String,
+        frame: MeshFrame,
+    ) = when (frame) {
+        is MeshFrame.Status -> {
+            events.news(frame.status)
+        }
+
+        is MeshFrame.Stream -> {
+            if (!streams) throw MalformedFrame("a frame of the decision stream, which was not asked for")
+            events.standby(StandbyEvent.FrameReceived(address, frame.frame))
+        }
+    }
+
+    private companion object {
+        /** ms. A follower that never says hello is no fault: the reading ends with the connection. */
+        const val NO_TIMEOUT = 0L
+    }
 }
--- /dev/null
+++ b/src/main/kotlin/ledgearch/standby/LeaderImage.kt
@@ -0,0 +1,57 @@
+package ledgearch.standby
+
+import ledgearch.core.JobStore
+import ledgearch.core.Leader
+import ledgearch.core.Machine
+import ledgearch.fleet.Fleet
+
+/**
+ * Reads the leader's state as stream records. What would exceed [maxBytes] is left out, machines coming first: the
+ * stream carries hints only, so an incomplete one costs time at a take-over and nothing else.
+ */
+internal class LeaderImage(
+    private val leader: Leader,
+    private val jobStore: JobStore,
+    private val fleet: Fleet,
+    private val maxBytes: Long,
+) {
+    private var bytes = 0L
+
+    /** The bound was reached when the state was last read. */
+    val isCutShort: Boolean get() = bytes > maxBytes
+
+    fun read(): Map<RecordKey, StreamRecord> {
+        bytes = 0
+        val records = HashMap<RecordKey, StreamRecord>()
+        for (machine in leader.machines.values) {
+            if (machine.shift != 0L) add(records, imageOf(machine))
+        }
+        for ((jobClass, learnt) in leader.estimates.learnt()) {
+            add(records, ClassRunTime(jobClass, learnt.logRatio, learnt.weight))
+        }
+        for (job in jobStore.jobs.values) {
+            if (job.servedAt != 0L) add(records, ServiceTime(job.id, job.servedAt))
+        }
+        for (rented in fleet.rentedNotReported()) {
+            add(records, RentedMachine(rented.name, rented.rack, rented.zone, rented.spot))
+        }
+        return records
+    }
+
+    private fun add(
+        records: MutableMap<RecordKey, StreamRecord>,
+        record: StreamRecord,
+    ) {
+        bytes += record.memoryBytes
+        if (bytes <= maxBytes) records[record.key] = record
+    }
+
+    private fun imageOf(machine: Machine) =
+        MachineImage(
+            machine.name,
+            machine.shift,
+            machine.releasing,
+            machine.placements.values.map { AttemptImage(it.task, it.attempt, it.status) },
+            machine.images.map { (name, gigabytes) -> CachedImage(name, gigabytes, name in machine.fetched) },
+        )
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/standby/Replica.kt
@@ -0,0 +1,86 @@
+package ledgearch.standby
+
+/** What became of a frame. */
+internal sealed interface ApplyResult {
+    data object Applied : ApplyResult
+
+    /** The frame does not continue the replica, which is dropped: a new snapshot is needed. */
+    data class Rejected(
+        val reason: String,
+    ) : ApplyResult
+}
+
+/** The follower's copy of the leader's state. It is a source of hints and proves nothing. */
+internal class Replica(
+    private val maxBytes: Long,
+) {
+    private val held = HashMap<RecordKey, StreamRecord>()
+    private var bytes = 0L
+
+    val records: Map<RecordKey, StreamRecord> get() = held
+
+    /** 0: nothing is held. */
+    var term = 0L
+        private set
+    var sequence = 0L
+        private set
+
+    /** Records that the leader had still to send when it sent the last frame. */
+    var remaining = 0
+        private set
+
+    /** The whole snapshot has arrived; the log may have run ahead since. */
+    var hasSnapshot = false
+        private set
+
+    /** The replica equals the leader's state at [sequence]. */
+    val isCurrent: Boolean get() = hasSnapshot && remaining == 0
+
+    fun clear() {
+        held.clear()
+        bytes = 0
+        term = 0
+        sequence = 0
+        remaining = 0
+        hasSnapshot = false
+    }
+
+    fun apply(frame: StreamFrame): ApplyResult {
+        val fault = faultOf(frame)
+        if (fault != null) return reject(fault)
+        if (frame.first) clear()
+        term = frame.term
+        sequence = frame.sequence
+        remaining = frame.remaining
+        frame.removed.forEach(::remove)
+        frame.records.forEach(::put)
+        if (remaining == 0) hasSnapshot = true
+        return if (bytes > maxBytes) reject("the replica would take more than $maxBytes bytes") else ApplyResult.Applied
+    }
+
+    private fun faultOf(frame: StreamFrame): String? =
+        when {
+            frame.term < term -> "term ${frame.term} after term $term"
+            frame.first -> null
+            term == 0L -> "sequence number ${frame.sequence} without a snapshot"
+            frame.term != term -> "term ${frame.term} without a snapshot"
+            frame.sequence != sequence + 1 -> "sequence number ${frame.sequence} after $sequence"
+            else -> null
+        }
+
+    private fun reject(reason: String): ApplyResult {
+        clear()
+        return ApplyResult.Rejected(reason)
+    }
+
+    private fun put(record: StreamRecord) {
+        remove(record.key)
+        held[record.key] = record
+        bytes += record.memoryBytes
+    }
+
+    private fun remove(key: RecordKey) {
+        val old = held.remove(key) ?: return
+        bytes -= old.memoryBytes
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/ledgearch/standby/TakeoverHints.kt
@@ -0,0 +1,69 @@
+package ledgearch.standby
+
+import ledgearch.Tuning
+import ledgearch.core.JobStore
+import ledgearch.core.Leader
+import ledgearch.core.Machine
+import ledgearch.core.Now
+import ledgearch.fleet.Fleet
+import ledgearch.fleet.RentalHint
+import kotlin.math.abs
+
+/**
+ * What a replica of the replaced leader's state suggests to a new leader. Nothing here confirms a machine, ends an
+ * attempt or finishes a task: hints choose an order, a first guess or a preference, and a wrong one costs time only.
+ * Every value comes from another process and is checked for its range before it is used.
+ */
+internal class TakeoverHints(
+    records: Collection<StreamRecord>,
+) {
+    private val machines = records.filterIsInstance<MachineImage>().associateBy { it.name }
+    private val runTimes = records.filterIsInstance<ClassRunTime>()
+    private val serviceTimes = records.filterIsInstance<ServiceTime>()
+    private val rented = records.filterIsInstance<RentedMachine>()
+
+    val machineCount: Int get() = machines.size
+
+    /** [machine] has a record in the state service; hints for machines without one are never used. */
+    fun recordRead(
+        machine: Machine,
+        now: Now,
+    ) {
+        val hint = machines[machine.name] ?: return
+        machine.sessionHint = hint.session.coerceAtLeast(0)
+        if (hint.returning) machine.refusedUntil = now.steady + Tuning.RETURNING_HINT_MS
+        for (image in hint.images.take(Tuning.MACHINE_TASKS)) {
+            if (!(image.gigabytes >= 0.0) || image.gigabytes.isInfinite()) continue
+            machine.touchImage(image.name, image.gigabytes)
+            if (image.fetched && image.name in machine.images) machine.fetched.add(image.name)
+        }
+    }
+
+    /** The machines in the order in which they are shown the token: most attempts first. */
+    fun inProbeOrder(unconfirmed: Collection<Machine>): List<Machine> =
+        unconfirmed.sortedByDescending {
+            machines[it.name]?.attempts?.size
+                ?: 0
+        }
+
+    /** All records are read. */
+    fun takenOver(
+        leader: Leader,
+        jobStore: JobStore,
+        fleet: Fleet,
+        now: Now,
+    ) {
+        for (hint in runTimes) {
+            if (abs(hint.logRatio) <= Tuning.RUN_TIME_HINT_MAX && hint.weight in 0.0..Tuning.ESTIMATE_JOBS) {
+                leader.estimates.learn(hint.jobClass, hint.logRatio, hint.weight)
+            }
+        }
+        for (hint in serviceTimes) {
+            val job = jobStore.jobs[hint.job] ?: continue
+            job.servedAt = maxOf(job.servedAt, minOf(hint.servedAt, now.wall))
+        }
+        for (hint in rented) {
+            if (hint.name !in leader.machines) fleet.mayBoot(RentalHint(hint.name, hint.rack, hint.zone, hint.spot))
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/WarmStandbyTest.kt
@@ -0,0 +1,164 @@
+package ledgearch
+
+import ledgearch.core.GrantRecord
+import ledgearch.core.TaskStatus
+import ledgearch.mesh.MalformedFrame
+import ledgearch.mesh.MeshFrame
+import ledgearch.mesh.StreamFrames
+import ledgearch.standby.ApplyResult
+import ledgearch.standby.AttemptImage
+import ledgearch.standby.CachedImage
+import ledgearch.standby.ClassRunTime
+import ledgearch.standby.MachineImage
+import ledgearch.standby.RecordKey
+import ledgearch.standby.RecordKind
+import ledgearch.standby.RentedMachine
+import ledgearch.standby.Replica
+import ledgearch.standby.ServiceTime
+import ledgearch.standby.StreamCodec
+import ledgearch.standby.StreamFrame
+import ledgearch.standby.StreamLog
+import ledgearch.standby.StreamRecord
+import ledgearch.standby.Tenure
+import okio.Buffer
+import okio.ByteString.Companion.toByteString
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** The decision stream's parts, each by itself. */
+internal class WarmStandbyTest {
+    private val machine =
+        MachineImage(
+            "host-1",
+            7,
+            true,
+            listOf(AttemptImage("job-1/3", 1L shl 40, TaskStatus.RUNNING)),
+            listOf(CachedImage("soup", 1.5, true)),
+        )
+    private val frame =
+        StreamFrame(
+            5,
+            9,
+            true,
+            2,
+            listOf(
+                machine,
+                ClassRunTime("web", -0.25, 3.0),
+                ServiceTime("job-1", 8),
+                RentedMachine("h", "r", "a", true),
+            ),
+            listOf(RecordKey(RecordKind.SERVICE_TIME, "job-2")),
+        )
+
+    private fun states(vararg records: StreamRecord): Map<RecordKey, StreamRecord> = records.associateBy { it.key }
+
+    @Test
+    fun `a frame is read as it was written, also in pieces`() {
+        val bytes = StreamFrames.encode(StreamCodec.encode(frame))
+        val buffer = Buffer()
+        for (i in 0 until bytes.size - 1) {
+            buffer.writeByte(bytes[i].toInt())
+            assertNull(StreamFrames.take(buffer))
+        }
+        buffer.writeByte(bytes[bytes.size - 1].toInt())
+        assertEquals(frame, (StreamFrames.take(buffer) as MeshFrame.Stream).frame)
+    }
+
+    @Test
+    fun `whatever is cut, altered or random is read, waited for or refused as malformed`() {
+        val good = StreamCodec.encode(frame).toByteArray()
+        for (size in good.indices) {
+            assertThrows(MalformedFrame::class.java) { StreamCodec.decode(good.copyOf(size).toByteString()) }
+        }
+        val random = Random(1)
+        repeat(20_000) {
+            val altered = good.copyOf().also { it[random.nextInt(it.size)] = random.nextInt().toByte() }
+            try {
+                StreamCodec.decode(altered.toByteString())
+            } catch (_: MalformedFrame) {
+                // As it should be.
+            }
+        }
+    }
+
+    @Test
+    fun `an oversized frame and one of an unknown kind are refused before they are read`() {
+        for (length in listOf((1 shl 24) or Tuning.STREAM_FRAME_MAX + 1, 2 shl 24, -1)) {
+            assertThrows(MalformedFrame::class.java) { StreamFrames.take(Buffer().writeInt(length)) }
+        }
+    }
+
+    @Test
+    fun `a replica takes only what continues it`() {
+        val faults =
+            listOf(
+                frame.copy(first = false, sequence = 12),
+                frame.copy(first = false, sequence = 10),
+                frame.copy(first = false, sequence = 8),
+                frame.copy(first = false, sequence = 11, term = 6),
+                frame.copy(term = 4),
+            )
+        for (fault in faults) {
+            val replica = Replica(Tuning.REPLICA_BYTES)
+            assertTrue(replica.apply(frame.copy(first = false)) is ApplyResult.Rejected)
+            assertEquals(ApplyResult.Applied, replica.apply(frame))
+            assertFalse(replica.isCurrent)
+            assertEquals(ApplyResult.Applied, replica.apply(frame.copy(first = false, sequence = 10, remaining = 0)))
+            assertTrue(replica.isCurrent)
+            assertTrue(replica.apply(fault) is ApplyResult.Rejected)
+            assertEquals(0L to 0, replica.term to replica.records.size)
+        }
+    }
+
+    @Test
+    fun `a replica that would grow beyond its bound is dropped`() {
+        val replica = Replica(machine.memoryBytes.toLong())
+        assertEquals(ApplyResult.Applied, replica.apply(frame.copy(records = listOf(machine))))
+        val more = frame.copy(first = false, sequence = 10, records = listOf(machine.copy(name = "host-2")))
+        assertTrue(replica.apply(more) is ApplyResult.Rejected)
+        assertTrue(replica.records.isEmpty())
+    }
+
+    @Test
+    fun `a snapshot goes in pieces while the state changes, and ends with the leader's state`() {
+        val random = Random(2)
+        val log = StreamLog(frameBytes = 200)
+        log.begin(5)
+        val replica = Replica(Tuning.REPLICA_BYTES)
+        var state = states(*Array(50) { machine.copy(name = "host-$it") })
+        log.join(1)
+        var frames = 0
+        while (frames < 400) {
+            if (frames < 200) {
+                val changed = machine.copy(name = "host-${random.nextInt(60)}", session = random.nextLong(9))
+                state = state + (changed.key to changed) - RecordKey(RecordKind.MACHINE, "host-${random.nextInt(60)}")
+            }
+            log.advance(state)
+            assertEquals(ApplyResult.Applied, replica.apply(log.nextFrame(1)!!))
+            if (replica.isCurrent) assertEquals(state, replica.records)
+            frames++
+        }
+        assertTrue(replica.isCurrent)
+        assertEquals(1, log.snapshotsSent)
+    }
+
+    @Test
+    fun `a term is of the leader that was replaced, through its renewals and not before`() {
+        val tenure = Tenure("n1")
+        tenure.changed(GrantRecord("n2", life = 1), 10)
+        assertTrue(tenure.changed(GrantRecord("n3", life = 1), 20))
+        assertFalse(tenure.changed(GrantRecord("n3", life = 1, over = 20), 30))
+        assertFalse(tenure.changed(null, 0))
+        assertFalse(tenure.changed(GrantRecord("n1", life = 1), 40))
+        assertFalse(tenure.mayBe(10))
+        assertTrue(tenure.mayBe(20))
+        assertTrue(tenure.changed(GrantRecord("n3", life = 1), 50))
+        assertFalse(tenure.mayBe(20))
+        assertTrue(tenure.mayBe(50))
+    }
+}
--- a/src/test/kotlin/ledgearch/simulation/Expectations.kt
+++ b/src/test/kotlin/ledgearch/simulation/Expectations.kt
@@ -55,7 +55,16 @@
             "withdrawn-everywhere" to ::withdrawnEverywhere,
         )
 
-    private val checks = onTasks + onCloud + onState + onAnswers
+    private val onStandby =
+        mapOf(
+            "replica" to ::replica,
+            "compared" to ::compared,
+            "stream-faults" to ::streamFaults,
+            "replicas-dropped" to ::replicasDropped,
+            "streams-dropped" to ::streamsDropped,
+        )
+
+    private val checks = onTasks + onCloud + onState + onAnswers + onStandby
 
     /** Compares as the second word says; when that is a job, its state. */
     fun check() {
@@ -63,6 +72,35 @@
         check()
     }
 
+    /** replica NODE current|none */
+    private fun replica() {
+        val node = simulation.nodes.first { it.name == words[2] }
+        val state = if (node.standby?.replica?.isCurrent == true) "current" else "none"
+        compare("replica ${words[2]} ${words[3]}", state, state == words[3])
+    }
+
+    /** compared COUNT: so often at least a replica was compared with the leader's state. */
+    private fun compared() {
+        val count = simulation.replicaRule.compared
+        compare("compared ${words[2]}", count, count >= words[2].toInt())
+    }
+
+    private fun streamFaults() {
+        val count = simulation.streams.injected
+        compare("stream-faults ${words[2]}", count, count >= words[2].toInt())
+    }
+
+    /** replicas-dropped COUNT: by all nodes together at least. */
+    private fun replicasDropped() {
+        val count = simulation.nodes.sumOf { it.standby?.report(false)?.replicasDropped ?: 0 }
+        compare("replicas-dropped ${words[2]}", count, count >= words[2].toLong())
+    }
+
+    private fun streamsDropped() {
+        val count = simulation.nodes.sumOf { it.standby?.report(true)?.streamsDropped ?: 0 }
+        compare("streams-dropped ${words[2]}", count, count >= words[2].toLong())
+    }
+
     private fun running() {
         val count = simulation.running(words[2])
         compare("running ${words[2]} ${words[3]}", count, count == words[3].toInt())
--- a/src/test/kotlin/ledgearch/simulation/Scenario.kt
+++ b/src/test/kotlin/ledgearch/simulation/Scenario.kt
@@ -72,6 +72,8 @@
             options["finals-kept"]?.toLong() ?: Tuning.FINAL_CACHE,
             // next LIMITS: what the settings announce, as `value-kb=2 txn-ops=5 write-rps=18 rps=100`.
             options["next"]?.let { ScenarioLimits.next(it.split(' ')) },
+            // standby NODES: those have warm standby, as `n1 n2`.
+            options["standby"].orEmpty().split(' ').toSet(),
         ).also {
             it.loss = options["loss"]?.toDouble() ?: 0.0
             it.cloud.capacity = options["capacity"]?.toInt() ?: 0
@@ -110,6 +112,7 @@
                 CloudSteps(simulation),
                 MachineSteps(simulation),
                 ProductionSteps(simulation),
+                StandbySteps(simulation),
             )
         val actions = HashMap<String, (Step) -> Unit>()
         families.forEach { actions += it.actions }
--- a/src/test/kotlin/ledgearch/simulation/Simulation.kt
+++ b/src/test/kotlin/ledgearch/simulation/Simulation.kt
@@ -10,6 +10,7 @@
 import ledgearch.config.OperatorSettings
 import ledgearch.config.OutsideAddresses
 import ledgearch.config.Settings
+import ledgearch.config.StandbySettings
 import ledgearch.config.StateLimits
 import ledgearch.config.Team
 import ledgearch.config.WorkerTimes
@@ -19,8 +20,7 @@
 import ledgearch.http.Reply
 import ledgearch.http.Request
 import ledgearch.http.Response
-import ledgearch.mesh.LeaderStatus
-import ledgearch.mesh.Mesh
+import ledgearch.standby.WarmStandby
 import ledgearch.wire.WorkRequest
 import kotlin.random.Random
 
@@ -37,10 +37,14 @@
     private val finalsKept: Long = Tuning.FINAL_CACHE,
     /** The limits that the settings of controllers that start from now on announce. */
     var nextLimits: NextStateLimits? = null,
+    /** Controllers with warm standby. */
+    private val standbyNodes: Set<String> = emptySet(),
 ) {
     val clock = Clockwork()
     val random = Random(seed)
     val rules = Rules(this)
+    val streams = StreamFaults()
+    val replicaRule = ReplicaRule(this)
     val state = StateStandIn(clock, random, limits)
     private val machineRecords = MachineRecordsRule(this)
     val cloud = CloudStandIn(this)
@@ -131,12 +135,16 @@
                         cloud = CloudLimits(2.0, 3.0),
                         quota = NodeQuota(cpu = cpu, fdLimit = 3000),
                     ),
-                operator = operator,
+                operator = operator.copy(standby = StandbySettings(name in standbyNodes)),
             )
 
-        private var life = 0
+        var life = 0
+            private set
+        val hasStandby: Boolean get() = name in standbyNodes
         private var controller: Controller? = null
         val up: Boolean get() = controller != null
+        val standby: WarmStandby? get() = controller?.standby
+        val takeoverMs: Long? get() = controller?.takeoverMs
         var refusing = false
 
         fun start() {
@@ -147,7 +155,7 @@
                     NodeTransport(
                         mine,
                     ),
-                    NodeMesh(mine),
+                    SimulatedMesh(this@Simulation, this, isAlive = { mine == life }),
                     Random(random.nextLong()),
                     random.nextLong(Long.MAX_VALUE),
                     {
@@ -178,6 +186,7 @@
             ) {
                 rules.violations.add("${clock.now} ms: $name counts other than a recount")
             }
+            controller?.standby?.let { replicaRule.check(name, it) }
             clock.after(50) { tick(mine) }
         }
 
@@ -208,7 +217,7 @@
             batchesDelayedUntil = until
         }
 
-        private fun run(command: Command) {
+        fun run(command: Command) {
             if (clock.now < frozenUntil) {
                 held.add(command)
             } else if (clock.now < slowUntil || waiting.isNotEmpty() || working) {
@@ -284,40 +293,6 @@
             )
         }
 
-        private inner class NodeMesh(
-            private val mine: Int,
-        ) : Mesh {
-            private var followed: String? = null
-            override val joined = nodes.size
-
-            override fun follow(address: String?) {
-                if (followed == address) return
-                followed = address
-                if (address != null) look(address)
-            }
-
-            /**
-             * A dead process refuses connections, as does one without free sockets; one that can't be reached is
-             * silent.
-             */
-            private fun look(address: String) {
-                if (mine != life || followed != address) return
-                val peer = nodes.first { it.name == address.substringBefore(':') }
-                if ((!peer.up || peer.refusing) && !unreachable(name, peer.name)) run(Command.PeerRefused(address))
-                clock.after(300) { look(address) }
-            }
-
-            override fun publish(news: LeaderStatus) {
-                for (node in nodes) {
-                    if (node !== this@Node &&
-                        node.up
-                    ) {
-                        deliver(name, node.name) { if (node.up) node.run(Command.News(news)) }
-                    }
-                }
-            }
-        }
-
         private inner class NodeTransport(
             private val mine: Int,
         ) : Transport {
@@ -373,7 +348,7 @@
         }
     }
 
-    private fun deliver(
+    fun deliver(
         from: String,
         to: String,
         action: () -> Unit,
@@ -386,7 +361,7 @@
         clock.at(at, action)
     }
 
-    private fun unreachable(
+    fun unreachable(
         a: String,
         b: String,
     ) = cuts.any { it.until > clock.now && it.between(a, b) }
