--- a/src/main/kotlin/ledgearch/standby/Tenure.kt
+++ b/src/main/kotlin/ledgearch/standby/ReplacedTerm.kt
@@ -3,7 +3,7 @@
 import ledgearch.core.GrantRecord
 
 /** The term of the last leader other than this node, through all its renewed tokens, as the watched grant shows it. */
-internal class Tenure(
+internal class ReplacedTerm(
     private val self: String,
 ) {
     private var node: String? = null
--- a/src/main/kotlin/ledgearch/standby/WarmStandby.kt
+++ b/src/main/kotlin/ledgearch/standby/WarmStandby.kt
@@ -46,7 +46,7 @@
 
     /** Steady ms of the last frame that left the replica equal to the leader's state. */
     private var currentAt = Long.MIN_VALUE
-    private val replaced = Tenure(node)
+    private val replaced = ReplacedTerm(node)
 
     val streamLog = StreamLog(frameBytes(processorShare))
     val replica = Replica(Tuning.REPLICA_BYTES)
--- a/src/test/kotlin/ledgearch/WarmStandbyTest.kt
+++ b/src/test/kotlin/ledgearch/WarmStandbyTest.kt
@@ -13,13 +13,13 @@
 import ledgearch.standby.RecordKey
 import ledgearch.standby.RecordKind
 import ledgearch.standby.RentedMachine
+import ledgearch.standby.ReplacedTerm
 import ledgearch.standby.Replica
 import ledgearch.standby.ServiceTime
 import ledgearch.standby.StreamCodec
 import ledgearch.standby.StreamFrame
 import ledgearch.standby.StreamLog
 import ledgearch.standby.StreamRecord
-import ledgearch.standby.Tenure
 import okio.Buffer
 import okio.ByteString.Companion.toByteString
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -149,16 +149,16 @@
 
     @Test
     fun `a term is of the leader that was replaced, through its renewals and not before`() {
-        val tenure = Tenure("n1")
-        tenure.changed(GrantRecord("n2", life = 1), 10)
-        assertTrue(tenure.changed(GrantRecord("n3", life = 1), 20))
-        assertFalse(tenure.changed(GrantRecord("n3", life = 1, over = 20), 30))
-        assertFalse(tenure.changed(null, 0))
-        assertFalse(tenure.changed(GrantRecord("n1", life = 1), 40))
-        assertFalse(tenure.mayBe(10))
-        assertTrue(tenure.mayBe(20))
-        assertTrue(tenure.changed(GrantRecord("n3", life = 1), 50))
-        assertFalse(tenure.mayBe(20))
-        assertTrue(tenure.mayBe(50))
+        val replaced = ReplacedTerm("n1")
+        replaced.changed(GrantRecord("n2", life = 1), 10)
+        assertTrue(replaced.changed(GrantRecord("n3", life = 1), 20))
+        assertFalse(replaced.changed(GrantRecord("n3", life = 1, over = 20), 30))
+        assertFalse(replaced.changed(null, 0))
+        assertFalse(replaced.changed(GrantRecord("n1", life = 1), 40))
+        assertFalse(replaced.mayBe(10))
+        assertTrue(replaced.mayBe(20))
+        assertTrue(replaced.changed(GrantRecord("n3", life = 1), 50))
+        assertFalse(replaced.mayBe(20))
+        assertTrue(replaced.mayBe(50))
     }
 }
