Take-over on loopback with real processes, as a test and as a load tool

Package ledgearch.loopback in the tests: three controllers in processes of their own, on free ports of 127.0.0.1, against the stand-ins of the simulation served over HTTP and driven in real time on one thread; the simulation's rules and audit hold there. TakeoverTest kills the leader and starts it again, and freezes it (SIGSTOP) past its lease and wakes it; then users submit to that controller. It asserts that nothing is placed under a grant that nobody holds yet, that all jobs are served, that each task began once, that no rule was broken and no machine with tasks was released. Limits are 30 s a step; no speed is asserted.

Workers' leases are 30 s, so that a busy machine loses no task by them.

--- /dev/null
+++ b/src/test/kotlin/ledgearch/loopback/LoopbackSimulation.kt
@@ -0,0 +1,178 @@
+package ledgearch.loopback
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import ledgearch.config.StateLimits
+import ledgearch.http.HttpClient
+import ledgearch.http.HttpServer
+import ledgearch.http.Reply
+import ledgearch.http.Request
+import ledgearch.http.Response
+import ledgearch.simulation.Simulation
+import ledgearch.wire.PortionStates
+import java.nio.channels.AsynchronousChannelGroup
+import java.util.concurrent.Callable
+import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+
+/**
+ * The stand-ins of the simulation, served over HTTP on loopback and driven in real time on one thread. Its controllers
+ * are processes outside, so none of the nodes of the simulation is started; they only lend their names. The rules of
+ * the simulation hold here too, since they look only at workers and answers.
+ */
+internal class LoopbackSimulation(
+    private val ports: FreePorts,
+    controllerCount: Int,
+    /** Addresses of the controllers by name. */
+    private val controllers: Map<String, String>,
+    /** Whether users are sent to this controller. */
+    private val serves: (name: String) -> Boolean,
+) : Simulation(
+        nodeCount = controllerCount,
+        seed = 1,
+        teamMax = TEAM_CPUS,
+        reportMs = REPORT_MS,
+        limits = STATE_LIMITS,
+        leaseMs = WORKER_LEASE_MS,
+    ),
+    AutoCloseable {
+    private val executor = ScheduledThreadPoolExecutor(1) { Thread(it, "loopback").apply { isDaemon = true } }
+    private val scope = CoroutineScope(executor.asCoroutineDispatcher() + SupervisorJob())
+    private val group = AsynchronousChannelGroup.withThreadPool(executor)
+    private val client = HttpClient(group)
+    private val beganAt = System.nanoTime()
+    private val endpoints = HashMap<String, String>()
+    val stateAddress = ports.next()
+    val cloudAddress = ports.next()
+
+    fun start() {
+        serve(stateAddress) { request, answer ->
+            state.handle(ANY_CONTROLLER, request.method, request.target, request.body, answer)
+        }
+        serve(cloudAddress) { request, answer -> cloud.handle(request.method, request.target, request.body, answer) }
+        executor.scheduleWithFixedDelay(::advance, 0, CLOCK_STEP_MS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Runs [action] on the thread of the stand-ins, at the present time. */
+    fun <T> call(action: () -> T): T =
+        executor
+            .submit(
+                Callable {
+                    advance()
+                    action()
+                },
+            ).get(CALL_S, TimeUnit.SECONDS)
+
+    /** Carries out what is due. A failure of a stand-in counts as a broken rule, so that the run fails. */
+    private fun advance() {
+        try {
+            clock.runUntil((System.nanoTime() - beganAt) / NANOS_PER_MS)
+        } catch (e: RuntimeException) {
+            rules.violations.add("${clock.now} ms: a stand-in failed: ${e.stackTraceToString()}")
+        }
+    }
+
+    private fun serve(
+        address: String,
+        handle: (Request, answer: (Reply) -> Unit) -> Unit,
+    ) {
+        val server =
+            HttpServer(scope, group, MOST_CONNECTIONS) { request ->
+                val response = CompletableDeferred<Response>()
+                advance()
+                handle(request) { response.complete(Response(it.status, it.body)) }
+                response.await()
+            }
+        server.start(address)
+    }
+
+    override fun endpointOf(name: String): String = endpoints.getOrPut(name) { ports.next() }
+
+    override fun bootWorker(
+        name: String,
+        type: String,
+        hall: String,
+        borrowed: Boolean,
+    ) {
+        serve(endpointOf(name)) { request, answer ->
+            workers[name]?.handle(request.method, request.path, request.body, answer)
+        }
+        super.bootWorker(name, type, hall, borrowed)
+    }
+
+    /** A controller gave the machine back to the cloud, though tasks may be on it. */
+    override fun removeWorker(name: String) {
+        val tasks =
+            workers[name]
+                ?.tasks
+                ?.values
+                .orEmpty()
+                .filter { it.status != PortionStates.EXITED }
+        if (tasks.isNotEmpty()) notes.add("${clock.now} $name released with ${tasks.map { it.portion }}")
+        super.removeWorker(name)
+    }
+
+    override fun sendReport(
+        from: String,
+        to: String,
+        body: String,
+        answer: (Reply) -> Unit,
+    ) = exchange(to, "POST", "/checkin", body, WORKER_PATIENCE_MS, answer)
+
+    override fun ask(
+        method: String,
+        target: String,
+        body: String?,
+        node: String?,
+        answer: (Reply) -> Unit,
+    ) {
+        val served = if (node == null) nodes.map { it.name }.filter(serves) else listOf(node)
+        if (served.isEmpty()) {
+            clock.after(USER_PATIENCE_MS) { answer(Reply.NONE) }
+        } else {
+            exchange(served.random(random), method, target, body, USER_PATIENCE_MS, answer)
+        }
+    }
+
+    private fun exchange(
+        controller: String,
+        method: String,
+        target: String,
+        body: String?,
+        timeoutMs: Long,
+        answer: (Reply) -> Unit,
+    ) {
+        scope.launch {
+            val reply = client.call(controllers.getValue(controller), method, target, body, timeoutMs)
+            advance()
+            answer(reply)
+        }
+    }
+
+    override fun close() {
+        scope.cancel()
+        group.shutdownNow()
+        executor.shutdownNow()
+    }
+
+    companion object {
+        /** ms. Short beside the published deployments, so that a run is short. */
+        const val REPORT_MS = 1_000L
+
+        /** ms. Longer than a busy machine is likely to hold a run up: a task lost with its lease may start again. */
+        const val WORKER_LEASE_MS = 30_000L
+        const val TEAM_CPUS = 10_000.0
+        val STATE_LIMITS = StateLimits(rps = 1_000.0, writeRps = 400.0, valueKb = 8.0, txnOps = 16)
+        private const val ANY_CONTROLLER = "controller"
+        private const val CLOCK_STEP_MS = 2L
+        private const val WORKER_PATIENCE_MS = 4_000L
+        private const val USER_PATIENCE_MS = 5_000L
+        private const val MOST_CONNECTIONS = 500
+        private const val CALL_S = 20L
+        private const val NANOS_PER_MS = 1_000_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/loopback/LoopbackWorkload.kt
@@ -0,0 +1,91 @@
+package ledgearch.loopback
+
+import ledgearch.simulation.requestOf
+import ledgearch.wire.Shapes
+
+/** What users submit on loopback, and whether all of it was served, each task once. */
+internal class LoopbackWorkload(
+    private val simulation: LoopbackSimulation,
+) {
+    private var submittedCount = 0
+
+    /** Services of one replica each, which fill most of a machine, so that the fleet keeps every machine. */
+    fun submitServices(count: Int) =
+        repeat(count) {
+            submit(null, "standing=yes", "tasks=1", "cpus=$SERVICE_CPUS", "class=web")
+        }
+
+    /** Arrays of short tasks, submitted to [controller] or to any that serves users. */
+    fun submitArrays(
+        count: Int,
+        controller: String? = null,
+    ) = repeat(count) {
+        submit(controller, "tasks=$ARRAY_TASKS", "cpus=$ARRAY_CPUS", "run=$ARRAY_RUN_S")
+    }
+
+    private fun submit(
+        controller: String?,
+        vararg words: String,
+    ) {
+        val job = "job-${++submittedCount}"
+        simulation.call { simulation.users.submit(requestOf(listOf(job) + words), controller) }
+    }
+
+    /** Every [POLL_MS] users ask for each job that is not over for them. */
+    fun beginPolling() =
+        simulation.call {
+            poll()
+        }
+
+    private fun poll() {
+        openArrays().filter(simulation.rules::isCompleted).forEach { job -> simulation.poll(job) { _, _ -> } }
+        simulation.clock.after(POLL_MS, ::poll)
+    }
+
+    private fun arrays() =
+        simulation.rules.submitted
+            .filterValues { it.shape != Shapes.STANDING }
+            .keys
+
+    private fun services() =
+        simulation.rules.submitted
+            .filterValues { it.shape == Shapes.STANDING }
+            .keys
+
+    private fun openArrays() = arrays().filterNot(simulation.rules::isToldDone)
+
+    /** Every user was told that the array is accepted. */
+    fun allAccepted(): Boolean =
+        simulation.call {
+            simulation.rules.submitted.keys
+                .all(simulation.rules::isAccepted)
+        }
+
+    /** Whether all replicas of every service run. */
+    fun servicesRun(): Boolean = simulation.call { services().all(simulation.rules::runsWhole) }
+
+    /** Whether every array is done for its user and every service runs whole. */
+    fun allServed(): Boolean = simulation.call { openArrays().isEmpty() && services().all(simulation.rules::runsWhole) }
+
+    /** Whether so many tasks of arrays run at this moment. */
+    fun runningArrayTasks(): Int = simulation.call { arrays().sumOf(simulation::running) }
+
+    /** Jobs whose workers began more or fewer tasks than the job has, though each task has to begin once. */
+    fun jobsNotStartedOnce(): List<String> =
+        simulation.call {
+            simulation.rules.submitted
+                .filter { (job, request) -> simulation.rules.startsOf(job) != request.portions }
+                .map { (job, request) -> "$job: ${simulation.rules.startsOf(job)} starts of ${request.portions} tasks" }
+        }
+
+    /** Rules that were broken, and tasks that were lost with a worker's lease or a released machine. */
+    fun violations(): List<String> = simulation.call { simulation.rules.violations + simulation.notes }
+
+    companion object {
+        const val ARRAY_TASKS = 4
+        private const val ARRAY_CPUS = 1
+        private const val ARRAY_RUN_S = 1.5
+        private const val SERVICE_CPUS = 5
+        private const val POLL_MS = 500L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/loopback/TakeoverTest.kt
@@ -0,0 +1,98 @@
+package ledgearch.loopback
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+
+/**
+ * Three real controller processes on loopback lose their leader. Order and safety are asserted, never a speed: the
+ * limits only bound the run on a busy machine.
+ */
+internal class TakeoverTest {
+    @TempDir
+    lateinit var folder: Path
+
+    @Test
+    @Timeout(TEST_LIMIT_S)
+    fun `the leader is killed and starts again`() =
+        LoopbackCluster(folder, MACHINES).use { cluster ->
+            val workload = begin(cluster)
+            val killed = checkNotNull(cluster.leader())
+            workload.submitArrays(ARRAYS)
+            cluster.await("arrays run", STEP_LIMIT_MS) { workload.runningArrayTasks() > 0 }
+
+            val watch = cluster.simulation.call { TakeoverWatch(cluster.simulation) }
+            killed.kill()
+            workload.submitArrays(ARRAYS)
+            cluster.await("take-over", STEP_LIMIT_MS) { cluster.simulation.call { watch.times.complete } }
+            expectOrder(watch.times)
+
+            killed.start()
+            cluster.await("${killed.name} joins", STEP_LIMIT_MS) { cluster.isReady(killed.name) }
+            workload.submitArrays(ARRAYS, killed.name)
+            expectServedOnce(cluster, workload)
+        }
+
+    @Test
+    @Timeout(TEST_LIMIT_S)
+    fun `the leader is frozen past its lease and wakes`() =
+        LoopbackCluster(folder, MACHINES).use { cluster ->
+            val workload = begin(cluster)
+            val frozen = checkNotNull(cluster.leader())
+            workload.submitArrays(ARRAYS)
+            cluster.await("arrays run", STEP_LIMIT_MS) { workload.runningArrayTasks() > 0 }
+
+            val watch = cluster.simulation.call { TakeoverWatch(cluster.simulation) }
+            frozen.freeze()
+            workload.submitArrays(ARRAYS)
+            cluster.await("take-over", STEP_LIMIT_MS) { cluster.simulation.call { watch.times.complete } }
+
+            expectOrder(watch.times)
+            frozen.resume()
+            workload.submitArrays(ARRAYS, frozen.name)
+            cluster.await("${frozen.name} answers", STEP_LIMIT_MS) { cluster.isReady(frozen.name) }
+            expectServedOnce(cluster, workload)
+            assertTrue(frozen.alive)
+        }
+
+    private fun begin(cluster: LoopbackCluster): LoopbackWorkload {
+        cluster.start()
+        cluster.await("a leader whom all follow", STEP_LIMIT_MS) { cluster.everyMachineConfirmed() }
+        for (name in cluster.controllers.keys) {
+            cluster.await("$name is ready", STEP_LIMIT_MS) { cluster.isReady(name) }
+        }
+        val workload = LoopbackWorkload(cluster.simulation)
+        workload.beginPolling()
+        workload.submitServices(SERVICES)
+        cluster.await("services run", STEP_LIMIT_MS) { workload.servicesRun() }
+        return workload
+    }
+
+    /** Nothing is placed under a grant before another controller holds it. */
+    private fun expectOrder(times: TakeoverTimes) {
+        val granted = checkNotNull(times.granted)
+        assertTrue(granted <= checkNotNull(times.confirmed))
+        assertTrue(granted <= checkNotNull(times.firstStart))
+    }
+
+    private fun expectServedOnce(
+        cluster: LoopbackCluster,
+        workload: LoopbackWorkload,
+    ) {
+        cluster.await("all jobs served", STEP_LIMIT_MS) { workload.allServed() }
+        assertTrue(workload.allAccepted())
+        assertEquals(emptyList<String>(), workload.violations())
+        assertEquals(emptyList<String>(), workload.jobsNotStartedOnce())
+    }
+
+    private companion object {
+        const val MACHINES = 24
+        const val SERVICES = 24
+        const val ARRAYS = 8
+        const val STEP_LIMIT_MS = 30_000L
+        const val TEST_LIMIT_S = 90L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/loopback/TakeoverWatch.kt
@@ -0,0 +1,55 @@
+package ledgearch.loopback
+
+import ledgearch.Tuning
+
+/** ms from the failure of a leader, each null until it was seen. */
+internal class TakeoverTimes {
+    /** Another controller holds the grant. */
+    var granted: Long? = null
+
+    /** Every machine follows the new grant. */
+    var confirmed: Long? = null
+
+    /** A worker was sent the first task that was placed under the new grant. */
+    var firstStart: Long? = null
+
+    val complete: Boolean get() = granted != null && confirmed != null && firstStart != null
+}
+
+/**
+ * Watches one change of leader from outside, by the grant in the state service and by what the workers were sent. It is
+ * made on the thread of the stand-ins, just before the leader fails.
+ */
+internal class TakeoverWatch(
+    private val simulation: LoopbackSimulation,
+) {
+    val times = TakeoverTimes()
+    private val beganAt = simulation.clock.now
+    private val oldHolder = holder()
+    private val oldTerm = term()
+
+    init {
+        look()
+    }
+
+    private fun holder() = simulation.state.field(LoopbackCluster.GRANT_KEY, "node")
+
+    private fun token() = simulation.state.stamp(LoopbackCluster.GRANT_KEY)
+
+    private fun term() = simulation.rules.lastAttempt shr Tuning.ATTEMPT_BITS
+
+    private fun look() {
+        val sinceMs = simulation.clock.now - beganAt
+        if (times.granted == null && token() != 0L && holder() != oldHolder) times.granted = sinceMs
+        if (times.granted != null && times.confirmed == null && everyMachineFollows()) times.confirmed = sinceMs
+        if (times.firstStart == null && term() > oldTerm) times.firstStart = sinceMs
+        if (!times.complete && sinceMs < LIMIT_MS) simulation.clock.after(LOOK_MS, ::look)
+    }
+
+    private fun everyMachineFollows() = simulation.workers.values.all { it.baton >= token() }
+
+    private companion object {
+        const val LOOK_MS = 2L
+        const val LIMIT_MS = 60_000L
+    }
+}
--- a/src/test/kotlin/ledgearch/simulation/Simulation.kt
+++ b/src/test/kotlin/ledgearch/simulation/Simulation.kt
@@ -529,7 +529,7 @@
         worker.boot()
     }
 
-    fun removeWorker(name: String) {
+    open fun removeWorker(name: String) {
         workers.remove(name)?.let {
             it.alive = false
             it.tasks.clear()
