--- /dev/null
+++ b/src/test/kotlin/ledgearch/PlantedDefectTest.kt
@@ -0,0 +1,77 @@
+package ledgearch
+
+import ledgearch.simulation.Scenario
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Defects planted in a worker break a rule with the real scheduler; the audit of what workers execute must notice. */
+internal class PlantedDefectTest {
+    private fun findings(steps: String): List<String> {
+        val text = "nodes 1\nmachines a*2 b*2\n$steps"
+        return Scenario(text).play().filter { "audit: " in it }
+    }
+
+    private fun assertFound(
+        rule: String,
+        findings: List<String>,
+    ) = assertTrue(findings.any { " $rule: " in it }, "$rule is not among $findings")
+
+    @Test
+    fun `a task that a worker hides goes on after its job was called withdrawn`() {
+        val found =
+            findings(
+                """
+                2 submit job-1 run=200
+                10 plant-hidden job-1/0
+                20 withdraw job-1
+                70 expect job-1 withdrawn
+                """.trimIndent(),
+            )
+        assertFound("ran_cancelled", found)
+    }
+
+    @Test
+    fun `a replica that a worker hides is known to nobody once it was started anew`() {
+        val found =
+            findings(
+                """
+                2 submit job-1 standing=yes urgency=prod
+                2 submit job-2 standing=yes urgency=prod team=blue tasks=10
+                10 plant-hidden job-1/0
+                20 settled
+                100 expect everyone-served
+                """.trimIndent(),
+            )
+        assertFound("ran_twice", found)
+        assertFound("orphaned", found)
+    }
+
+    @Test
+    fun `a task that a worker falsely reports as done lets a dependent start too early`() {
+        val found =
+            findings(
+                """
+                2 submit job-1 run=200
+                3 submit job-2 awaits=job-1 run=5
+                10 plant-falsely-done job-1/0
+                40 expect job-2 done
+                """.trimIndent(),
+            )
+        assertFound("too_early", found)
+    }
+
+    @Test
+    fun `without a defect nothing is found`() {
+        val found =
+            findings(
+                """
+                2 submit job-1 run=20
+                2 submit job-3 standing=yes urgency=prod
+                3 submit job-2 awaits=job-1 run=5
+                20 settled
+                100 expect job-2 done
+                """.trimIndent(),
+            )
+        assertTrue(found.isEmpty(), found.toString())
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/simulation/AuditLooks.kt
@@ -0,0 +1,83 @@
+package ledgearch.simulation
+
+import ledgearch.wire.WireJson
+import ledgearch.wire.WorkStates
+import ledgearch.wire.WorkStatus
+
+/** Gives the [ExecutionAudit] what is on the workers of the [simulation], again and again. */
+internal class AuditLooks(
+    private val simulation: Simulation,
+    private val audit: ExecutionAudit,
+) {
+    private val clock get() = simulation.clock
+
+    /** From now on, under any failures. */
+    fun begin() {
+        audit.inspect(clock.now, observed())
+        clock.after(LOOK_MS) { begin() }
+    }
+
+    /** From now on; no failure is left. Every controller is asked about each job that is not over for its user. */
+    fun beginSettled() {
+        val open = simulation.rules.everyoneAccepted.filter { !simulation.rules.isToldOver(it) }
+        open.forEachIndexed { index, job ->
+            clock.after(index * QUESTION_MS) { simulation.users.pollEverywhere(job) }
+        }
+        lookSettled()
+    }
+
+    private fun lookSettled() {
+        audit.inspectSettled(clock.now, observed())
+        compareRunning()
+        clock.after(SETTLED_LOOK_MS) { lookSettled() }
+    }
+
+    /** What the controller that knows of most running tasks of a job says, against what is executed. */
+    private fun compareRunning() {
+        val executing = executingByJob()
+        for (job in executing.keys) askAll(job)
+    }
+
+    private fun executingByJob() = observed().filter { it.executing && it.reached }.groupingBy { it.job }.eachCount()
+
+    private fun askAll(job: String) {
+        val told = HashMap<String, Int>()
+        for (node in simulation.nodes) {
+            simulation.ask("GET", "/work/$job", null, node.name) { reply ->
+                if (reply.status == 200) told[node.name] = runningIn(reply.body)
+            }
+        }
+        clock.after(ANSWERS_MS) {
+            val most = told.values.maxOrNull() ?: return@after
+            audit.compareRunning(job, most, executingByJob()[job] ?: 0, clock.now)
+        }
+    }
+
+    private fun runningIn(body: String): Int {
+        val status = WireJson.decodeFromString(WorkStatus.serializer(), body)
+        val open = status.status == WorkStates.PENDING || status.status == WorkStates.RUNNING
+        return if (open) status.running ?: 0 else Int.MAX_VALUE
+    }
+
+    private fun observed() =
+        simulation.workers.values.filter { it.alive }.flatMap { worker ->
+            val reached = simulation.isReached(worker)
+            worker.tasks.values
+                .filter { it.status != "exited" }
+                .map { ObservedTask(it.portion, it.attempt, worker.name, it.here, reached) }
+        }
+
+    private companion object {
+        /** ms. Between two looks under failures. */
+        const val LOOK_MS = 1_000L
+
+        /** ms. Between two looks once failures are over. */
+        const val SETTLED_LOOK_MS = 5_000L
+
+        /** ms. Between questions about two jobs. */
+        const val QUESTION_MS = 100L
+
+        /** ms. So long after a question its answers are compared. */
+        const val ANSWERS_MS = 4_000L
+    }
+}
--- a/src/test/kotlin/ledgearch/simulation/MachineSteps.kt
+++ b/src/test/kotlin/ledgearch/simulation/MachineSteps.kt
@@ -13,6 +13,8 @@
             "restart" to { step -> worker(step).restart() },
             "notice" to ::notice,
             "die" to ::die,
+            "plant-hidden" to { step -> plant(step) { worker, attempt -> worker.hidden.add(attempt) } },
+            "plant-falsely-done" to { step -> plant(step) { worker, attempt -> worker.falselyDone.add(attempt) } },
         )
 
     private fun worker(step: Step) = simulation.workers.getValue(host(step.words[1]))
@@ -26,6 +28,18 @@
         }
     }
 
+    /** plant-... TASK: a defect of the worker that has the task, to see that the checks notice it. */
+    private fun plant(
+        step: Step,
+        defect: (WorkerStandIn, Long) -> Unit,
+    ) {
+        val portion = step.words[1]
+        val worker = simulation.workers.getValue(host("@$portion"))
+        worker.tasks.values
+            .filter { it.portion == portion }
+            .forEach { defect(worker, it.attempt) }
+    }
+
     private fun notice(step: Step) {
         worker(step).recallAt = simulation.clock.now + step.milliseconds(2)
     }
--- /dev/null
+++ b/src/test/kotlin/ledgearch/simulation/ProductionFaults.kt
@@ -0,0 +1,133 @@
+package ledgearch.simulation
+
+/** Faults that show at production size: slow processes, messages late by seconds, and many machines at once. */
+internal class ProductionFaults(
+    private val simulation: Simulation,
+) {
+    private val clock get() = simulation.clock
+    private val random get() = simulation.random
+
+    private fun seconds(
+        from: Int,
+        to: Int,
+    ) = (from * 1000 + random.nextInt((to - from) * 1000)).toLong()
+
+    private fun leader() = simulation.nodes.firstOrNull { it.name == holder(simulation) } ?: simulation.nodes.first()
+
+    private fun machines(most: Int): List<String> {
+        val all = simulation.workers.keys.toList()
+        return all.shuffled(random).take(1 + random.nextInt(most))
+    }
+
+    private fun restart(
+        node: Simulation.Node,
+        afterMs: Long,
+    ) {
+        node.crash()
+        clock.after(afterMs) { if (!node.up) node.start() }
+    }
+
+    private fun slowLeader() =
+        leader().slow(
+            BATCH_FROM_MS + random.nextLong(BATCH_SPREAD_MS),
+            clock.now + seconds(5, 40),
+        )
+
+    private fun slowAllInElection() {
+        val batchMs = BATCH_FROM_MS + random.nextLong(BATCH_SPREAD_MS)
+        val until = clock.now + seconds(10, 40)
+        simulation.nodes.forEach { it.slow(batchMs, until) }
+        clock.after(random.nextLong(CLOSE_MS)) { restart(leader(), seconds(0, 3)) }
+    }
+
+    private fun slowFollower() {
+        val follower = simulation.nodes.first { it !== leader() }
+        follower.slow(BATCH_FROM_MS + random.nextLong(FOLLOWER_SPREAD_MS), clock.now + seconds(5, 40))
+    }
+
+    private fun delayCommands() {
+        simulation.lateCommands = 0.3
+        clock.after(seconds(5, 30)) { simulation.lateCommands = 0.0 }
+    }
+
+    private fun compactHistory() {
+        simulation.state.forgetChanges()
+        simulation.state.blind(simulation.nodes[random.nextInt(simulation.nodes.size)].name, clock.now + seconds(2, 10))
+    }
+
+    private fun deafen(count: Int) {
+        val until = clock.now + seconds(5, 40)
+        machines(count).forEach { simulation.cut("nodes", it, until, hold = false, oneWay = true) }
+    }
+
+    private fun hang(count: Int) {
+        val names = machines(count)
+        names.forEach { simulation.workers[it]?.hanging = true }
+        clock.after(seconds(2, 40)) { names.forEach { simulation.workers[it]?.hanging = false } }
+    }
+
+    private fun lagLists() {
+        simulation.cloud.listLagMs = seconds(3, 6)
+        simulation.cloud.down = true
+        clock.after(seconds(3, 20)) { simulation.cloud.down = false }
+        clock.after(seconds(30, 60)) { simulation.cloud.listLagMs = 0L }
+    }
+
+    private fun restartWithinASecond() =
+        repeat(RESTARTS) { i ->
+            clock.after(i * RESTART_EVERY_MS) {
+                restart(leader(), random.nextLong(900))
+            }
+        }
+
+    private fun endWithLateTransactions() {
+        simulation.state.lateShare = 0.5
+        clock.after(random.nextLong(CLOSE_MS)) { restart(leader(), random.nextLong(900)) }
+        clock.after(seconds(5, 15)) { simulation.state.lateShare = 0.0 }
+    }
+
+    private fun cancelAtEnds() {
+        simulation.users.cancelsAtEnd = 0.3
+        clock.after(seconds(5, 20)) { simulation.users.cancelsAtEnd = 0.0 }
+    }
+
+    private fun cancelManyNeeded() = simulation.users.cancelNeeded(5 + random.nextInt(10))
+
+    private fun cutZoneBothWays() =
+        simulation.cut(
+            "zone-" + if (random.nextBoolean()) "a" else "b",
+            "all",
+            clock.now + seconds(10, 50),
+            hold = random.nextBoolean(),
+        )
+
+    val all: List<() -> Unit> =
+        listOf(
+            ::slowLeader,
+            ::slowAllInElection,
+            ::slowFollower,
+            ::delayCommands,
+            ::compactHistory,
+            { deafen(MANY) },
+            { hang(MANY) },
+            { simulation.mute(machines(MANY), clock.now + seconds(5, 40)) },
+            ::lagLists,
+            ::restartWithinASecond,
+            ::endWithLateTransactions,
+            ::cancelAtEnds,
+            ::cancelManyNeeded,
+            ::cutZoneBothWays,
+        )
+
+    private companion object {
+        const val MANY = 60
+        const val CLOSE_MS = 2_000L
+        const val RESTARTS = 3
+        const val RESTART_EVERY_MS = 4_000L
+
+        /** ms. How late a slow controller works off what has come. */
+        const val BATCH_FROM_MS = 100L
+        const val BATCH_SPREAD_MS = 1_500L
+        const val FOLLOWER_SPREAD_MS = 8_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/simulation/ProductionSteps.kt
@@ -0,0 +1,40 @@
+package ledgearch.simulation
+
+/** Load and faults of production size, and the checks that follow once all faults are over. */
+internal class ProductionSteps(
+    simulation: Simulation,
+) : StepFamily(simulation) {
+    private val workload = ProductionWorkload(simulation)
+
+    override val actions =
+        mapOf<String, (Step) -> Unit>(
+            "finals" to ::addFinals,
+            "workload" to ::submit,
+            "poll-open" to { step -> workload.pollOpen(step.milliseconds(2)) },
+            "settled" to { simulation.rules.auditLooks.beginSettled() },
+            "slow-controller" to ::slowController,
+            "late-commands" to ::delayCommands,
+            "list-lag" to { step -> simulation.cloud.listLagMs = step.milliseconds(1) },
+        )
+
+    /** finals COUNT done|withdrawn: so many jobs were over before. */
+    private fun addFinals(step: Step) {
+        workload.addFinals(step.words[1].toInt(), step.words[2])
+    }
+
+    /** workload COUNT EVERY-MS: so many jobs, chains, diamonds and services. */
+    private fun submit(step: Step) {
+        workload.submit(step.words[1].toInt(), step.words[2].toLong())
+    }
+
+    /** slow-controller NODE MS until S: it works off what comes in batches, so much later. */
+    private fun slowController(step: Step) {
+        node(step.words[1]).slow(step.words[2].toLong(), step.milliseconds(4))
+    }
+
+    /** late-commands SHARE until S: that share of direct commands is carried out 2 to 16 s later, unanswered. */
+    private fun delayCommands(step: Step) {
+        simulation.lateCommands = step.words[1].toDouble()
+        simulation.clock.at(step.milliseconds(3)) { simulation.lateCommands = 0.0 }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/ledgearch/simulation/ProductionWorkload.kt
@@ -0,0 +1,143 @@
+package ledgearch.simulation
+
+import ledgearch.wire.WorkRequest
+import kotlin.random.Random
+
+/**
+ * Jobs as they come in production, drawn from the simulation's seed: single arrays, chains and diamonds that are
+ * submitted one after another, jobs that name earlier ones in any state, services, and cancellations.
+ */
+internal class ProductionWorkload(
+    private val simulation: Simulation,
+) {
+    private val clock get() = simulation.clock
+    private val random: Random get() = simulation.random
+    private val users get() = simulation.users
+
+    /** Arrays that were submitted or that were over before, and may be named by later jobs. */
+    private val arrays = ArrayList<String>()
+    private val usedNumbers = HashSet<Int>()
+
+    /** [count] jobs that were over before the simulation began: the state service holds their final records. */
+    fun addFinals(
+        count: Int,
+        state: String,
+    ) = repeat(count) {
+        val job = newName()
+        simulation.state.write("w/d/$job", """{"st":"$state","n":1}""")
+        simulation.rules.wasOverBefore(array(emptyList()).copy(ref = job, portions = 1), state)
+        arrays.add(job)
+    }
+
+    /** So many groups of jobs, one every [everyMs]. */
+    fun submit(
+        count: Int,
+        everyMs: Long,
+    ) = repeat(count) { i -> clock.after(i * everyMs) { submitGroup() } }
+
+    /** Every accepted job that is not over for its user is asked about once in [everyMs]. */
+    fun pollOpen(everyMs: Long) {
+        val open = simulation.rules.everyoneAccepted.filter { !simulation.rules.isToldOver(it) }
+        for (job in open) clock.after(random.nextLong(everyMs)) { users.poll(job) { _, _ -> } }
+        clock.after(everyMs) { pollOpen(everyMs) }
+    }
+
+    private fun submitGroup() {
+        when (random.nextInt(100)) {
+            in 0 until 35 -> submitOne(emptyList())
+            in 35 until 60 -> submitChain(2 + random.nextInt(4))
+            in 60 until 75 -> submitDiamond(2 + random.nextInt(4))
+            in 75 until 92 -> submitOne(earlierJobs(1 + random.nextInt(3)))
+            else -> submitService()
+        }
+    }
+
+    private fun submitOne(awaits: List<String>): String {
+        val request = array(awaits)
+        send(request)
+        return request.ref
+    }
+
+    private fun submitChain(length: Int) {
+        var previous = emptyList<String>()
+        repeat(length) { previous = listOf(submitOne(previous)) }
+    }
+
+    private fun submitDiamond(width: Int) {
+        val first = submitOne(emptyList())
+        val middle = List(width) { submitOne(listOf(first)) }
+        val last = array(middle).copy(urgency = "urgent")
+        // Some users submit the last job only when the others may be over.
+        val delayMs = if (random.nextBoolean()) 0L else random.nextLong(MOST_DELAY_MS)
+        clock.after(delayMs) { send(last) }
+    }
+
+    private fun submitService() {
+        val request =
+            array(emptyList()).copy(
+                shape = "standing",
+                urgency = "prod",
+                portions = 2 + random.nextInt(8),
+                apart = random.nextBoolean(),
+                vcpus = 1.0,
+            )
+        users.submit(request)
+        if (random.nextInt(2) == 0) withdrawLater(request.ref)
+    }
+
+    private fun send(request: WorkRequest) {
+        users.submit(request)
+        arrays.add(request.ref)
+        if (random.nextInt(100) < WITHDRAWN_PERCENT) withdrawLater(request.ref)
+    }
+
+    private fun withdrawLater(job: String) {
+        clock.after(random.nextLong(MOST_DELAY_MS)) { users.withdraw(job) }
+    }
+
+    private fun earlierJobs(count: Int): List<String> {
+        if (arrays.isEmpty()) return emptyList()
+        return List(count) { arrays[arrays.size - 1 - random.nextInt(minOf(arrays.size, RECENT))] }.distinct()
+    }
+
+    private fun array(awaits: List<String>) =
+        WorkRequest(
+            ref = newName(),
+            menu = "batch",
+            crew = if (random.nextBoolean()) "red" else "blue",
+            shape = "sweep",
+            urgency = listOf("urgent", "normal", "best_effort")[random.nextInt(3)],
+            portions = 1 + random.nextInt(if (random.nextInt(LARGE_ONE_IN) == 0) MOST_TASKS else MOST_TASKS_OF_SMALL),
+            vcpus = 1.0 + random.nextInt(2),
+            memoryGb = 1.0,
+            borrowed = random.nextBoolean(),
+            recipe = "i",
+            sizeGb = 0.3,
+            cookS = 2.0 + random.nextInt(MOST_RUN_S),
+            awaits = awaits.ifEmpty { null },
+        )
+
+    /** Names come in no order. */
+    private fun newName(): String {
+        while (true) {
+            val number = FIRST_NUMBER + random.nextInt(NUMBERS)
+            if (usedNumbers.add(number)) return "job-$number"
+        }
+    }
+
+    private companion object {
+        const val FIRST_NUMBER = 100_000
+        const val NUMBERS = 900_000
+        const val MOST_TASKS = 120
+        const val MOST_TASKS_OF_SMALL = 12
+
+        /** One array in so many is large. */
+        const val LARGE_ONE_IN = 5
+        const val MOST_RUN_S = 40
+        const val MOST_DELAY_MS = 90_000L
+        const val WITHDRAWN_PERCENT = 10
+
+        /** A job names one of so many that were submitted last. */
+        const val RECENT = 300
+    }
+}
