--- a/src/main/kotlin/ledgearch/cli/Crash.kt
+++ b/src/main/kotlin/ledgearch/cli/Crash.kt
@@ -22,12 +22,7 @@
         try {
             log.error("the process ends to be started again: {}", failure.toString())
         } finally {
-            exit(EXIT_FAILURE)
+            exit(ExitCodes.FAILURE)
         }
     }
-
-    companion object {
-        /** The process can't go on and is to be started again. */
-        const val EXIT_FAILURE = 5
-    }
 }
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -92,7 +92,7 @@
             server.start(settings.listen)
         } catch (e: IOException) {
             log.error("{} can't be listened on: {}", settings.listen, e.message)
-            exitProcess(EXIT_ADDRESS)
+            exitProcess(ExitCodes.ADDRESS)
         }
         log.info("node {} listens on {}", settings.node, settings.listen)
     }
@@ -143,9 +143,6 @@
     }
 
     private companion object {
-        /** An address can't be listened on. */
-        const val EXIT_ADDRESS = 4
-
         /** What must not wait behind users: workers' leases hang on it, and the load balancer's patience. */
         val FIRST = setOf("/checkin", "/up")
     }
--- /dev/null
+++ b/src/main/kotlin/ledgearch/cli/ExitCodes.kt
@@ -0,0 +1,18 @@
+package ledgearch.cli
+
+/** The codes that the process exits with; the usage text names them for operators. */
+internal object ExitCodes {
+    const val OK = 0
+
+    /** The command line can't be understood. */
+    const val USAGE = 2
+
+    /** The settings can't be used. */
+    const val SETTINGS = 3
+
+    /** An address can't be listened on. */
+    const val ADDRESS = 4
+
+    /** The process can't go on and is to be started again. */
+    const val FAILURE = 5
+}
--- a/src/main/kotlin/ledgearch/cli/Main.kt
+++ b/src/main/kotlin/ledgearch/cli/Main.kt
@@ -12,11 +12,6 @@
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
-private const val EXIT_OK = 0
-private const val EXIT_USAGE = 2
-private const val EXIT_SETTINGS = 3
-private const val EXIT_ADDRESS = 4
-
 private const val USAGE = """usage: ledgearch COMMAND [options]
 
   serve --config FILE         run a controller until it is killed
@@ -62,8 +57,8 @@
         } catch (e: ParseException) {
             return usage(e.message.orEmpty())
         }
-    if (line.hasOption("help")) return EXIT_OK.also { println(USAGE) }
-    if (line.hasOption("version")) return EXIT_OK.also { println("ledgearch ${Version.text}") }
+    if (line.hasOption("help")) return ExitCodes.OK.also { println(USAGE) }
+    if (line.hasOption("version")) return ExitCodes.OK.also { println("ledgearch ${Version.text}") }
     val words = line.argList
     if (words.size > 1) return usage("unknown argument: ${words[1]}")
     val command = words.firstOrNull() ?: return usage("no command")
@@ -77,10 +72,10 @@
                 ?: platform
         } catch (e: SettingsException) {
             System.err.println("ledgearch: ${e.message}")
-            return EXIT_SETTINGS
+            return ExitCodes.SETTINGS
         }
     SettingsLoader.warnings(settings).forEach { System.err.println("ledgearch: warning: $it") }
-    if (command == "check-config") return EXIT_OK.also { println(SettingsLoader.print(settings)) }
+    if (command == "check-config") return ExitCodes.OK.also { println(SettingsLoader.print(settings)) }
     return serve(settings)
 }
 
@@ -90,10 +85,10 @@
         null
     } catch (e: IOException) {
         System.err.println("ledgearch: cannot listen on ${settings.listen}: ${e.message}")
-        EXIT_ADDRESS
+        ExitCodes.ADDRESS
     }
 
 private fun usage(problem: String): Int {
     System.err.println("ledgearch: $problem\n\n$USAGE")
-    return EXIT_USAGE
+    return ExitCodes.USAGE
 }
--- a/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
@@ -58,7 +58,7 @@
             }
             client.call(settings.listen, "POST", "/work/job-0/withdraw", "", TIMEOUT_MS)
         }
-        exitProcess(0)
+        exitProcess(ExitCodes.OK)
     }
 
     private suspend fun reportOnce(client: HttpClient) {
