--- a/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
@@ -58,7 +58,7 @@
             }
             client.call(settings.listen, "POST", "/work/job-0/withdraw", "", TIMEOUT_MS)
         }
-        exitProcess(0)
+        exitProcess(ExitCodes.OK)
     }
 
     private suspend fun reportOnce(client: HttpClient) {
@@ -69,7 +69,7 @@
 
     private fun carryOut(reply: Reply) {
         val answer = WireJson.decodeFromString(CheckInReply.serializer(), reply.body)
-        carryOut(answer.baton, answer.orders)
+        carryOut(answer.token, answer.orders)
     }
 
     private fun carryOut(
@@ -79,7 +79,7 @@
         token = maxOf(token, seenToken)
         for (order in orders) {
             when (order.verb) {
-                Verbs.START -> tasks[order.portion] = PortionReport(order.portion, order.`try`, PortionStates.RUNNING)
+                Verbs.START -> tasks[order.portion] = PortionReport(order.portion, order.attempt, PortionStates.RUNNING)
                 else -> tasks.remove(order.portion)
             }
         }
@@ -94,7 +94,7 @@
                 hall = "z",
                 shift = 1,
                 ticket = ++sequence,
-                baton = token,
+                token = token,
                 portions = tasks.values.toList(),
             )
         return WireJson.encodeToString(CheckIn.serializer(), report)
@@ -146,7 +146,7 @@
 
     private fun orders(request: Request): Response {
         val command = WireJson.decodeFromString(OrdersRequest.serializer(), request.body)
-        carryOut(command.baton, command.orders)
+        carryOut(command.token, command.orders)
         return Response(OK, report())
     }
 
--- a/src/main/kotlin/ledgearch/wire/Workers.kt
+++ b/src/main/kotlin/ledgearch/wire/Workers.kt
@@ -1,12 +1,14 @@
 package ledgearch.wire
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** One task on a machine, as its worker tells it. */
 @Serializable
 data class PortionReport(
     val portion: String,
-    val `try`: Long,
+    @SerialName("try")
+    val attempt: Long,
     val status: String,
     val cause: String? = null,
     val saved: Boolean = false,
@@ -22,7 +24,8 @@
     val borrowed: Boolean = false,
     val shift: Long,
     val ticket: Long,
-    val baton: Long = 0,
+    @SerialName("baton")
+    val token: Long = 0,
     val recallS: Double? = null,
     val portions: List<PortionReport> = emptyList(),
 )
@@ -31,19 +34,22 @@
 data class Order(
     val verb: String,
     val portion: String,
-    val `try`: Long,
+    @SerialName("try")
+    val attempt: Long,
     val cooldownS: Double? = null,
 )
 
 @Serializable
 data class CheckInReply(
-    val baton: Long,
+    @SerialName("baton")
+    val token: Long,
     val orders: List<Order>,
 )
 
 @Serializable
 data class OrdersRequest(
-    val baton: Long,
+    @SerialName("baton")
+    val token: Long,
     val shift: Long,
     val orders: List<Order>,
 )
