Load tool that tells a controller's processor time by phase and thread

Need: the cost of start, take-over and steady work was known by the owner's own counts only, which miss compilation, sockets and hand-overs between threads.

--- a/src/test/kotlin/ledgearch/loopback/ControllerProcess.kt
+++ b/src/test/kotlin/ledgearch/loopback/ControllerProcess.kt
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
+import kotlin.io.path.readLines
 
 /**
  * One controller in a process of its own, which may be killed and started again. Its output is appended to [logFile].
@@ -12,6 +13,8 @@
     private val configFile: Path,
     private val operatorFile: Path?,
     private val logFile: Path,
+    /** A deployment file whose `run` line starts the process; null: the class path of the tests does. */
+    private val deployFile: Path? = null,
 ) {
     private var process: Process? = null
 
@@ -32,13 +35,21 @@
         process = builder.start()
     }
 
+    fun processorTimes(): ProcessorTimes = process?.let { ProcessorTimes.of(it.pid()) } ?: ProcessorTimes.NONE
+
     private fun command(): List<String> {
+        if (deployFile != null) return deployedCommand(deployFile) + configFile.toString()
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
         val program = listOf("-cp", classPath(), "ledgearch.cli.MainKt", "serve", "--config", configFile.toString())
         val operator = operatorFile?.let { listOf("--operator", it.toString()) }.orEmpty()
         return listOf(java) + VM_OPTIONS + program + operator
     }
 
+    private fun deployedCommand(file: Path): List<String> {
+        val line = file.readLines().first { it.startsWith(RUN_LINE) }
+        return line.removePrefix(RUN_LINE).removeSuffix("\"").split(' ')
+    }
+
     /** Surefire keeps the class path of the tests in a property of its own. */
     private fun classPath(): String =
         System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
@@ -72,6 +83,7 @@
     private companion object {
         /** s. */
         const val END_S = 10L
+        const val RUN_LINE = "run = \""
 
         /** As in `deploy/service.toml`, without the class archive, which belongs to the jar. */
         val VM_OPTIONS =
@@ -80,7 +92,6 @@
                 "-XX:TieredStopAtLevel=1",
                 "-Xss256k",
                 "-Xmx96m",
-                "--add-opens=java.base/sun.nio.ch=ALL-UNNAMED",
             )
     }
 }
--- a/src/test/kotlin/ledgearch/loopback/LoopbackCluster.kt
+++ b/src/test/kotlin/ledgearch/loopback/LoopbackCluster.kt
@@ -23,12 +23,22 @@
     private val folder: Path,
     private val machineCount: Int,
     operatorFile: Path? = null,
+    deployFile: Path? = null,
 ) : AutoCloseable {
     private val ports = FreePorts()
     private val listenAddresses = NAMES.associateWith { ports.next() }
     private val meshAddresses = NAMES.associateWith { ports.next() }
     val simulation = LoopbackSimulation(ports, NAMES.size, listenAddresses, ::serves)
-    val controllers = NAMES.associateWith { ControllerProcess(it, configFile(it), operatorFile, logFile(it)) }
+    val controllers =
+        NAMES.associateWith {
+            ControllerProcess(
+                it,
+                configFile(it),
+                operatorFile,
+                logFile(it),
+                deployFile,
+            )
+        }
 
     /** Also when the program is interrupted, no controller outlives it. */
     private val endOfProgram = Thread { endControllers() }
@@ -81,6 +91,9 @@
 
     private fun grantHolder() = simulation.state.field(GRANT_KEY, "node")?.let(controllers::getValue)
 
+    /** The token of the present grant, or 0. */
+    fun token(): Long = simulation.call { simulation.state.stamp(GRANT_KEY) }
+
     /** Whether every machine follows the present grant. */
     fun everyMachineConfirmed(): Boolean =
         simulation.call {
--- /dev/null
+++ b/src/test/kotlin/ledgearch/loopback/ProcessorTimes.kt
@@ -0,0 +1,51 @@
+package ledgearch.loopback
+
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.isDirectory
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.readText
+
+/** Processor time of one process by the names of its threads, and its memory, as Linux tells them. */
+internal class ProcessorTimes private constructor(
+    private val nanosByThread: Map<String, Long>,
+    val peakMemoryKb: Long,
+) {
+    val totalMs: Double get() = nanosByThread.values.sum() / NANOS_PER_MS
+
+    /** What was used after [before] was taken, in milliseconds, greatest first. */
+    fun msSince(before: ProcessorTimes): List<Pair<String, Double>> =
+        nanosByThread
+            .mapValues { (thread, nanos) -> (nanos - (before.nanosByThread[thread] ?: 0L)) / NANOS_PER_MS }
+            .toList()
+            .sortedByDescending { it.second }
+
+    companion object {
+        private const val NANOS_PER_MS = 1e6
+        val NONE = ProcessorTimes(emptyMap(), 0)
+
+        fun of(pid: Long): ProcessorTimes {
+            val process = Path.of("/proc/$pid")
+            if (!process.isDirectory()) return NONE
+            val nanos = HashMap<String, Long>()
+            for (task in process.resolve("task").listDirectoryEntries()) {
+                val name = task.resolve("comm").readText().trim()
+                val used =
+                    task
+                        .resolve("schedstat")
+                        .readText()
+                        .substringBefore(' ')
+                        .toLong()
+                nanos.merge(name, used, Long::plus)
+            }
+            return ProcessorTimes(nanos, peakMemoryKb(process))
+        }
+
+        private fun peakMemoryKb(process: Path): Long =
+            Files
+                .readAllLines(process.resolve("status"))
+                .first { it.startsWith("VmHWM:") }
+                .filter(Char::isDigit)
+                .toLong()
+    }
+}
