--- a/src/main/kotlin/ledgearch/cli/Logging.kt
+++ b/src/main/kotlin/ledgearch/cli/Logging.kt
@@ -6,6 +6,9 @@
 
     fun configure(level: String?) {
         val wanted = level?.lowercase()?.takeIf { it in LEVELS } ?: "info"
+        // Named, so that no start looks through the jar for it.
+        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider")
+        System.setProperty("slf4j.internal.verbosity", "WARN")
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", wanted)
         System.setProperty("org.slf4j.simpleLogger.logFile", "System.err")
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
--- a/src/main/kotlin/ledgearch/cli/WarmUp.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUp.kt
@@ -23,7 +23,9 @@
               "objectives":[{"kind":"wait","class":"m","within_s":1.0,"share":0.9},
                {"kind":"deadline","class":"m","share":0.9},{"kind":"finished","class":"m","within_s":60.0,"share":0.9}],
               "workers":{"report_s":3.0,"lease_s":14.0,"cancel_s":39.0},
-              "state":{"rps":100.0,"write_rps":25.0,"value_kb":8.0,"txn_ops":16},"cloud":{"rps":1.5,"list_lag_s":8.0}}}
+              "quota":{"cpu":0.05,"memory_mb":164.0,"fd_limit":1200},
+              "state":{"rps":100.0,"write_rps":25.0,"value_kb":8.0,"txn_ops":16,
+               "next":{"rps":100.0,"write_rps":25.0,"value_kb":8.0,"txn_ops":16}},"cloud":{"rps":1.5,"list_lag_s":8.0}}}
             """.trimIndent(),
         )
         val settings = SettingsLoader.load(file)
--- a/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
@@ -11,6 +11,11 @@
 import ledgearch.http.Reply
 import ledgearch.http.Request
 import ledgearch.http.Response
+import ledgearch.mesh.LeaderStatus
+import ledgearch.mesh.MeshEvents
+import ledgearch.mesh.MeshLinks
+import ledgearch.mesh.Progress
+import ledgearch.standby.StandbyEvent
 import ledgearch.wire.Causes
 import ledgearch.wire.CheckIn
 import ledgearch.wire.CheckInReply
@@ -37,6 +42,9 @@
     private val group = AsynchronousChannelGroup.withThreadPool(executor)
     private var edition = 10L
 
+    /** The peer holds the block at first, so that the controller follows it before it takes the block itself. */
+    private var peerLeads = true
+
     /** The worker's tasks, the highest token that it has seen, and the number of its last message. */
     private val tasks = LinkedHashMap<String, PortionReport>()
     private var token = 0L
@@ -45,11 +53,15 @@
     fun play() {
         HttpServer(scope, group, 10, handler = ::state).start(settings.outside.state)
         HttpServer(scope, group, 10, handler = ::cloudOrWorker).start(settings.outside.cloud)
+        MeshLinks(scope, group, NoEvents).follow(settings.meshAddress)
+        val peer = MeshLinks(scope, group, NoEvents)
+        peer.listen(settings.members.first().addr)
         Daemon(settings).start()
         val client = HttpClient(group)
         runBlocking(Dispatchers.Unconfined) {
             repeat(ROUNDS) { round ->
                 Thread.sleep(STEP_MS)
+                peer.publish(LeaderStatus(listOf(Progress("job-900", 1, 1)), served = true))
                 client.call(settings.listen, "GET", "/up", null, TIMEOUT_MS)
                 client.call(settings.listen, "POST", "/work", job("job-$round", ""), TIMEOUT_MS)
                 client.call(settings.listen, "POST", "/work", job("job-1$round", AWAITED), TIMEOUT_MS)
@@ -113,6 +125,10 @@
 
     private suspend fun changes(): Response {
         delay(STEP_MS)
+        if (peerLeads) {
+            peerLeads = false
+            return Response(OK, """{"edition":${++edition},"news":[{"remove":"w/g/0","stamp":$edition}]}""")
+        }
         val final = """{"put":"w/d/job-900","v":{"st":"done","n":2},"stamp":${++edition}}"""
         val opened = """{"put":"w/j/job-902","v":{"spec":${job("job-902", "")},"at":1},"stamp":$edition}"""
         return Response(OK, """{"edition":$edition,"news":[$final,$opened]}""")
@@ -124,6 +140,7 @@
             when {
                 "w/c" in target -> """{"key":"w/c","v":{"racks":[$MACHINE_TYPE]},"stamp":1}"""
                 "w/j/" in target -> """{"key":"w/j/job-900","v":{"spec":${job("job-900", "")},"at":1},"stamp":2}"""
+                "w/g/" in target && peerLeads -> """{"key":"w/g/0","v":{"node":"b","life":1},"stamp":5}"""
                 "m/" in target -> machineRecord()
                 "f/" in target -> """{"key":"f/job-900/0","v":{"r":"0"},"stamp":4}"""
                 else -> ""
@@ -141,7 +158,7 @@
         when (request.path) {
             "/catalog" -> Response(OK, """{"racks":[$MACHINE_TYPE]}""")
             "/orders" -> orders(request)
-            else -> Response(OK, """{"stoves":[],"hasNext":false}""")
+            else -> Response(OK, """{"stoves":[$LISTED_MACHINE],"hasNext":false}""")
         }
 
     private fun orders(request: Request): Response {
@@ -158,6 +175,15 @@
             "memoryGb":1.0,"recipe":"i","sizeGb":1.0,"samePlace":false,"apart":false,"borrowed":true,
             "cookS":20.0,"stirS":0.0,"plateS":0.0,"serveS":90.0$more}"""
 
+    /** What the peers of the started controller hear of it matters to nobody. */
+    private object NoEvents : MeshEvents {
+        override suspend fun news(news: LeaderStatus) = Unit
+
+        override suspend fun standby(event: StandbyEvent) = Unit
+
+        override suspend fun refused(address: String) = Unit
+    }
+
     private companion object {
         const val ROUNDS = 10
         const val STEP_MS = 100L
@@ -165,6 +191,9 @@
         const val OK = 200
         const val NOT_FOUND = 404
         const val MACHINE = "host-1"
+        const val LISTED_MACHINE =
+            """{"ref":"host-2","endpoint":"127.0.0.1:1","rack":"r","hall":"z","borrowed":false,"status":"booting",""" +
+                """"heldS":1.0}"""
         const val AWAITED = ""","awaits":["job-900","job-902"]"""
         const val MACHINE_TYPE =
             """{"label":"r","vcpus":8,"memoryGb":16,"localGb":35,"fetchGbPerS":0.3,"hourly":0.5,""" +
