One thread for sockets and coroutines; callers get in before the owner's turn; peers are refused until a start is over

Cause, from the owner's counts twice a second after all controllers ended on 5.1% of a core: the new leader answered 9 reports in the first 6 s of its grant and 70 in 14 s, while workers' leases ran out. One caller was accepted for each of the owner's turns, and every message was handed between threads several times. Besides, the other controllers waited for the old grant's lease, as the old leader's new process took their connections long before it knew that it had led. Change: the group's own thread runs the coroutines; the owner's turn follows up to 32 looks at the sockets; time-outs of reads become one look a second; header fields are read without copies; the address for peers is opened once the state is read. OwnerQueueTest fills a whole batch now that a batch is larger; what it asserts is unchanged.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -5,8 +5,9 @@
     // --- The machine ---
 
     /**
-     * MB. What the process takes at the most, by the command line in deploy/service.toml: 96 of heap, 24 of compiled
-     * code, 24 of classes, in the archive or else in metaspace, and 12 of stacks and the virtual machine's own.
+     * MB. What the process takes at the most with a thousand machines, by the command line in deploy/service.toml: 96 of
+     * heap, 24 of compiled code, 24 of classes, in the archive or else in metaspace, and 12 of stacks and the virtual
+     * machine's own. Where more machines and jobs need it, the heap grows beyond that.
      */
     const val MEMORY_MB = 156.0
 
@@ -42,6 +43,9 @@
     /** ms. From the first byte of a request to its last: longer than any lost packet's resend, bounds slow senders. */
     const val SLOW_REQUEST_MS = 10_000L
 
+    /** ms. Between two looks for callers that are past their time: small beside [SLOW_REQUEST_MS]. */
+    const val LATE_CALLERS_MS = 1_000L
+
     /** ms. How long one write may stall before the connection is given up. */
     const val WRITE_MS = 10_000L
 
@@ -78,10 +82,16 @@
     const val USERS_QUEUE = 256
 
     /** Of [BATCH], what users' requests get however much else waits. */
-    const val USERS_IN_BATCH = 8
+    const val USERS_IN_BATCH = 32
 
     /** Commands. Handled before effects are made, so that one pass of placement serves them all. */
-    const val BATCH = 64
+    const val BATCH = 256
+
+    /** ms. Between two looks for timers that are due: no time-out or pause here needs more precision. */
+    const val TIMER_STEP_MS = 50L
+
+    /** Looks at the sockets. So many go before the owner's turn while each finds something: some 30 callers get in. */
+    const val SOCKET_ROUNDS = 32
 
     /** ms. Time-driven work; a twentieth of the shortest wait that users ask for. */
     const val TICK_MS = 50L
@@ -91,9 +101,6 @@
 
     // --- State service ----------------------------------------------------------------------------------------
 
-    /** ms. Longest silence of a connection that is being read. */
-    const val READ_MS = 20_000L
-
     /** ms. A request to the state service; it usually takes under 10 and now and then a few hundred. */
     const val STATE_MS = 1_500L
 
@@ -217,6 +224,9 @@
     /** Frames. Waiting for one follower. */
     const val MESH_QUEUE = 8
 
+    /** Jobs. Told of in one frame: with the longest names it stays under the 1 MiB that earlier versions take. */
+    const val JOBS_A_FRAME = 2_000
+
     /** ms. A leader silent for this long is connected to anew. */
     const val MESH_SILENT_MS = 4_000L
 
@@ -515,6 +525,9 @@
     /** ms. Between two readings of the machine list. */
     const val LIST_MS = 4_000L
 
+    /** Calls. So many are left to others for each page of the machine list. */
+    const val LIST_PAGE_CALLS = 3
+
     /** ms. Between two readings of the catalog; prices move slowly. */
     const val CATALOG_MS = 60_000L
 
@@ -542,7 +555,10 @@
     /** ms. Between two retirements: each shows in the load before the next. */
     const val RETIRE_MS = 3_000L
 
-    /** Machines. Returned ones that are remembered: late reports and lists still name them for some minutes. */
+    /**
+     * Machines. Returned ones that are remembered, or as many as there are machines if those are more: late reports and
+     * lists still name them for some minutes.
+     */
     const val RETURNED_KEPT = 2_000
 
     /** Machines. Rented at most unless operators say less: no bound in practice. */
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -1,10 +1,8 @@
 package ledgearch.cli
 
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -13,6 +11,7 @@
 import ledgearch.core.Command
 import ledgearch.core.Controller
 import ledgearch.core.Transport
+import ledgearch.http.EventLoop
 import ledgearch.http.HttpClient
 import ledgearch.http.HttpServer
 import ledgearch.http.Reply
@@ -26,8 +25,6 @@
 import ledgearch.standby.StandbyEvent
 import org.slf4j.LoggerFactory
 import java.io.IOException
-import java.nio.channels.AsynchronousChannelGroup
-import java.util.concurrent.ScheduledThreadPoolExecutor
 import kotlin.random.Random
 import kotlin.system.exitProcess
 
@@ -36,15 +33,11 @@
     private val settings: Settings,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.daemon")
-    private val executor =
-        ScheduledThreadPoolExecutor(1) { Thread(it, "ledgearch") }.apply {
-            removeOnCancelPolicy =
-                true
-        }
+    private val loop = EventLoop("ledgearch")
     private val crash = Crash { code -> Runtime.getRuntime().halt(code) }
     private val failures = CoroutineExceptionHandler { _, e -> crash.uncaught(e) }
-    private val scope = CoroutineScope(executor.asCoroutineDispatcher() + SupervisorJob() + failures)
-    private val group = AsynchronousChannelGroup.withThreadPool(executor)
+    private val scope = CoroutineScope(loop + SupervisorJob() + failures)
+    private val group = loop.group
     private val client = HttpClient(group, (settings.deployment.quota.fdLimit * Tuning.OUTGOING_SHARE).toInt())
     private val queue = OwnerQueue()
     private val random = Random(System.nanoTime() xor settings.node.hashCode().toLong())
@@ -55,15 +48,16 @@
     /**
      * Starts; throws [IOException] when the address is taken. The process then runs until killed. It listens once it
      * has read the state service, or after a while: until then it could only turn callers away, and on a small
-     * processor share hundreds of workers that try every controller would keep it from getting ready.
+     * processor share hundreds of workers that try every controller would keep it from getting ready. The other
+     * controllers are refused as long: if this node led before it ended, they take the block without waiting for it.
      */
     fun start() {
         val sockets = (settings.deployment.quota.fdLimit * Tuning.INCOMING_SHARE).toInt()
         val staleMs = (settings.deployment.workers.reportS * 1000 * Tuning.STALE_REPORTS).toLong()
         val server = HttpServer(scope, group, sockets, { it.path == "/checkin" }, staleMs, ::handle)
         checkFree(settings.listen)
-        mesh.listen(settings.meshAddress)
-        scope.launch { OwnerLoop(queue, crash, ::work).run() }
+        checkFree(settings.meshAddress)
+        scope.launch(loop.afterSockets) { OwnerLoop(queue, crash, ::work).run() }
         scope.launch { listenWhenReady(server) }
         scope.launch {
             while (true) {
@@ -89,21 +83,27 @@
         withTimeoutOrNull(Tuning.LISTEN_WAIT_MS) {
             while (!controller.isReady) delay(Tuning.TICK_MS)
         }
-        try {
-            server.start(settings.listen)
-        } catch (e: IOException) {
-            log.error("{} can't be listened on: {}", settings.listen, e.message)
-            exitProcess(ExitCodes.ADDRESS)
-        }
+        listen(settings.meshAddress, mesh::listen)
+        listen(settings.listen, server::start)
         log.info("node {} listens on {}", settings.node, settings.listen)
     }
 
+    private fun listen(
+        address: String,
+        open: (String) -> Unit,
+    ) = try {
+        open(address)
+    } catch (e: IOException) {
+        log.error("{} can't be listened on: {}", address, e.message)
+        exitProcess(ExitCodes.ADDRESS)
+    }
+
     /** Tells at once, by an exception, that [address] can't be listened on. */
     private fun checkFree(address: String) = listenOn(address, group).close()
 
     private suspend fun handle(request: Request): Response {
-        val answer = CompletableDeferred<Response>()
-        val command = Command.Serve(request) { answer.complete(it) }
+        val answer = PendingResponse()
+        val command = Command.Serve(request, answer::complete)
         if (request.path in FIRST) {
             queue.put(command)
         } else if (!queue.offer(command)) {
--- a/src/main/kotlin/ledgearch/http/Connections.kt
+++ b/src/main/kotlin/ledgearch/http/Connections.kt
@@ -8,6 +8,9 @@
     var isKept = false
     var unusedSince = 0L
     var isOpen = false
+
+    /** ms. By then the caller must have sent something, or all of its request. */
+    var deadline = Long.MAX_VALUE
 }
 
 /**
@@ -21,12 +24,12 @@
     /** Those that wait for a request, the one unused longest first. */
     private val unused = LinkedHashSet<Connection>()
     private val unusedKept = LinkedHashSet<Connection>()
-    var open = 0
-        private set
+    private val all = LinkedHashSet<Connection>()
+    val open: Int get() = all.size
 
     fun opened(c: Connection) {
         c.isOpen = true
-        open++
+        all.add(c)
     }
 
     fun unused(
@@ -45,11 +48,14 @@
     fun close(c: Connection) {
         if (!c.isOpen) return
         c.isOpen = false
-        open--
+        all.remove(c)
         used(c)
         c.socket.closeQuietly()
     }
 
+    /** Closes those whose callers are late. One look now and then costs less than a timer for each read. */
+    fun closeLate(nowMs: Long) = all.filter { it.deadline < nowMs }.forEach(::close)
+
     /** Whether one more may be opened, if need be in place of one that is not in use. */
     fun makeRoom(nowMs: Long): Boolean {
         if (open < most) return true
--- /dev/null
+++ b/src/main/kotlin/ledgearch/http/EventLoop.kt
@@ -0,0 +1,180 @@
+package ledgearch.http
+
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.InternalCoroutinesApi
+import ledgearch.Tuning
+import java.nio.channels.AsynchronousChannelGroup
+import java.util.PriorityQueue
+import java.util.concurrent.Executor
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.coroutines.Continuation
+import kotlin.coroutines.ContinuationInterceptor
+import kotlin.coroutines.CoroutineContext
+
+/**
+ * One thread for sockets, coroutines and timers. The thread that finds a socket ready also carries on the coroutine
+ * that waits for it: with a thread pool behind the channel group each message would be handed from thread to thread
+ * several times, which costs more than handling it.
+ *
+ * Timers fire at the step of [Tuning.TIMER_STEP_MS] that is nearest; a clock thread wakes the loop for them.
+ */
+@OptIn(InternalCoroutinesApi::class, ExperimentalCoroutinesApi::class)
+internal class EventLoop(
+    private val name: String,
+) : CoroutineDispatcher(),
+    Delay {
+    @Volatile
+    private var thread: Thread? = null
+
+    /** The channels of this loop belong to this group. */
+    val group: AsynchronousChannelGroup =
+        AsynchronousChannelGroup.withFixedThreadPool(1) { task -> Thread(task, name).also { thread = it } }
+
+    /** The groups of OpenJDK carry out tasks on their own thread; the published type does not say so. */
+    private val tasks = checkNotNull(group as? Executor) { "this Java runtime's channel groups take no tasks" }
+
+    /** What coroutines have to do next; used by the loop's thread only. */
+    private val ready = ArrayDeque<Runnable>()
+    private var isRunningReady = false
+    private val timers = PriorityQueue<Timer>()
+    private val isWoken = AtomicBoolean()
+
+    /** Counts what came from sockets. */
+    private var socketEvents = 0L
+
+    /**
+     * Work that waits until no socket has anything more, or for [Tuning.SOCKET_ROUNDS] looks at the sockets: it then
+     * sees together what has come. A look accepts one connection at most, so without this work that takes long would
+     * let hundreds of callers wait to be accepted.
+     */
+    val afterSockets: CoroutineDispatcher =
+        object : CoroutineDispatcher() {
+            override fun dispatch(
+                context: CoroutineContext,
+                block: Runnable,
+            ) = execute { afterSockets(block, Tuning.SOCKET_ROUNDS) }
+        }
+
+    /** Tasks and sockets that are found ready by one look come in any order, so this look's may be yet to come. */
+    private fun afterSockets(
+        block: Runnable,
+        roundsLeft: Int,
+    ) {
+        val seen = socketEvents
+        execute { if (socketEvents == seen || roundsLeft == 0) block.run() else afterSockets(block, roundsLeft - 1) }
+    }
+
+    private class Timer(
+        val dueAt: Long,
+        var action: Runnable?,
+    ) : Comparable<Timer>,
+        DisposableHandle {
+        override fun compareTo(other: Timer) = dueAt.compareTo(other.dueAt)
+
+        /** It stays in the queue until it is due, but holds nothing. */
+        override fun dispose() {
+            action = null
+        }
+    }
+
+    init {
+        Thread(::tellTime, "$name-clock").apply { isDaemon = true }.start()
+    }
+
+    override fun dispatch(
+        context: CoroutineContext,
+        block: Runnable,
+    ) {
+        if (Thread.currentThread() === thread) ready.addLast(block) else execute(block)
+    }
+
+    private fun execute(block: Runnable) =
+        tasks.execute {
+            block.run()
+            runReady()
+        }
+
+    /** A socket has resumed a coroutine. */
+    private fun socketReady() {
+        socketEvents++
+        runReady()
+    }
+
+    /** Carries on all coroutines that can go on. */
+    private fun runReady() {
+        if (isRunningReady) return
+        isRunningReady = true
+        try {
+            while (true) (ready.removeFirstOrNull() ?: break).run()
+        } finally {
+            isRunningReady = false
+        }
+    }
+
+    override fun scheduleResumeAfterDelay(
+        timeMillis: Long,
+        continuation: CancellableContinuation<Unit>,
+    ) {
+        val timer = addTimer(timeMillis) { with(continuation) { resumeUndispatched(Unit) } }
+        continuation.invokeOnCancellation { timer.dispose() }
+    }
+
+    override fun invokeOnTimeout(
+        timeMillis: Long,
+        block: Runnable,
+        context: CoroutineContext,
+    ): DisposableHandle = addTimer(timeMillis, block)
+
+    private fun addTimer(
+        timeMs: Long,
+        action: Runnable,
+    ): Timer {
+        val timer = Timer(nowMs() + timeMs, action)
+        if (Thread.currentThread() === thread) timers.add(timer) else tasks.execute { timers.add(timer) }
+        return timer
+    }
+
+    /** The clock thread: one wake-up at a time, so that they do not pile up in a loop that is behind. */
+    private fun tellTime() {
+        while (!group.isShutdown) {
+            Thread.sleep(Tuning.TIMER_STEP_MS)
+            if (isWoken.compareAndSet(false, true)) wake()
+        }
+    }
+
+    private fun wake() {
+        try {
+            tasks.execute(::fireTimers)
+        } catch (_: RejectedExecutionException) {
+            // The group was shut down meanwhile.
+        }
+    }
+
+    private fun fireTimers() {
+        isWoken.set(false)
+        val until = nowMs() + Tuning.TIMER_STEP_MS / 2
+        while (true) {
+            val next = timers.peek() ?: break
+            if (next.dueAt > until) break
+            timers.poll()
+            next.action?.run()
+        }
+        runReady()
+    }
+
+    private fun nowMs() = System.nanoTime() / NANOS_PER_MS
+
+    companion object {
+        private const val NANOS_PER_MS = 1_000_000L
+
+        /** A socket has resumed [continuation]: the loop that it runs on, if it runs on one, carries it on. */
+        fun carryOn(continuation: Continuation<*>) {
+            (continuation.context[ContinuationInterceptor] as? EventLoop)?.socketReady()
+        }
+    }
+}
--- a/src/main/kotlin/ledgearch/http/HttpClient.kt
+++ b/src/main/kotlin/ledgearch/http/HttpClient.kt
@@ -183,7 +183,7 @@
                 return Reply(status, body) to (!head.close && c.reader.isEmpty)
             }
             buffer.clear()
-            val n = c.channel.readSome(buffer, Tuning.READ_MS)
+            val n = c.channel.readSome(buffer)
             if (n < 0) throw IOException("closed")
             c.reader.append(buffer.array(), n)
         }
--- a/src/main/kotlin/ledgearch/http/HttpServer.kt
+++ b/src/main/kotlin/ledgearch/http/HttpServer.kt
@@ -35,6 +35,12 @@
     /** Binds at once (throws when the address is taken), then accepts until cancelled. */
     fun start(address: String): Job {
         val server = listenOn(address, group)
+        scope.launch {
+            while (true) {
+                delay(Tuning.LATE_CALLERS_MS)
+                connections.closeLate(nowMs())
+            }
+        }
         return scope.launch {
             while (true) {
                 if (!connections.makeRoom(nowMs())) {
@@ -90,8 +96,9 @@
         reader: MessageReader,
         buffer: ByteBuffer,
     ): Request? {
-        var startedAt = if (reader.isEmpty) 0L else System.nanoTime()
-        if (startedAt == 0L) connections.unused(connection, nowMs())
+        var isBegun = !reader.isEmpty
+        connection.deadline = nowMs() + if (isBegun) Tuning.SLOW_REQUEST_MS else Tuning.IDLE_MS
+        if (!isBegun) connections.unused(connection, nowMs())
         while (true) {
             val head = reader.head()
             val body = if (head != null) reader.body() else null
@@ -102,21 +109,16 @@
                 ) {
                     throw BadMessage(400, "bad request line")
                 }
+                connection.deadline = Long.MAX_VALUE
                 return Request(parts[0], parts[1], body, !head.close)
             }
-            val timeout =
-                if (startedAt == 0L) {
-                    Tuning.IDLE_MS
-                } else {
-                    Tuning.SLOW_REQUEST_MS - (System.nanoTime() - startedAt) / 1_000_000
-                }
-            if (timeout <= 0) throw BadMessage(408, "request too slow")
             buffer.clear()
-            val n = channel.readSome(buffer, timeout)
+            val n = channel.readSome(buffer)
             if (n < 0) return null
-            if (startedAt == 0L) {
+            if (!isBegun) {
+                isBegun = true
                 connections.used(connection)
-                startedAt = System.nanoTime()
+                connection.deadline = nowMs() + Tuning.SLOW_REQUEST_MS
             }
             reader.append(buffer.array(), n)
         }
--- a/src/main/kotlin/ledgearch/http/MessageReader.kt
+++ b/src/main/kotlin/ledgearch/http/MessageReader.kt
@@ -108,41 +108,72 @@
     }
 
     private fun parseHead(text: String): Head {
-        val lines = text.split("\r\n")
-        var length: Int? = null
-        var chunked = false
-        var close = lines[0].endsWith("HTTP/1.0")
-        for (i in 1 until lines.size) {
-            val line = lines[i]
-            val colon = line.indexOf(':')
-            if (colon <= 0) throw BadMessage(400, "bad header line")
-            val value = line.substring(colon + 1).trim()
-            when (line.substring(0, colon).lowercase()) {
-                "content-length" -> {
-                    if (value.isEmpty() || !value.all { it in '0'..'9' }) throw BadMessage(400, "bad content length")
-                    val announced = value.toIntOrNull() ?: throw BadMessage(413, "body too large")
-                    if (length != null && length != announced) throw BadMessage(400, "two content lengths")
-                    length = announced
-                }
-
-                "transfer-encoding" -> {
-                    if (!value.equals("chunked", ignoreCase = true)) throw BadMessage(501, "unknown transfer encoding")
-                    chunked = true
-                }
-
-                "connection" -> {
-                    if (value.equals("close", ignoreCase = true)) close = true
-                }
+        val startLine = text.substringBefore(LINE_END)
+        val fields = Fields(close = startLine.endsWith("HTTP/1.0"))
+        var from = startLine.length + LINE_END.length
+        while (from < text.length) {
+            val lineEnd = text.indexOf(LINE_END, from).let { if (it < 0) text.length else it }
+            val colon = text.indexOf(':', from)
+            if (colon <= from || colon >= lineEnd) throw BadMessage(400, "bad header line")
+            fields.read(text, from, colon, lineEnd)
+            from = lineEnd + LINE_END.length
+        }
+        return fields.head(startLine)
+    }
+
+    /** The header fields that matter here. All others are passed over without a copy. */
+    private class Fields(
+        private var close: Boolean,
+    ) {
+        private var length: Int? = null
+        private var chunked = false
+
+        /** The field named by [text] from [from] to [colon]; its value ends before [lineEnd]. */
+        fun read(
+            text: String,
+            from: Int,
+            colon: Int,
+            lineEnd: Int,
+        ) {
+            if (isNamed(text, from, colon, CONTENT_LENGTH)) {
+                readLength(text.substring(colon + 1, lineEnd).trim())
+            } else if (isNamed(text, from, colon, TRANSFER_ENCODING)) {
+                val value = text.substring(colon + 1, lineEnd).trim()
+                if (!value.equals("chunked", ignoreCase = true)) throw BadMessage(501, "unknown transfer encoding")
+                chunked = true
+            } else if (isNamed(text, from, colon, CONNECTION)) {
+                if (text.substring(colon + 1, lineEnd).trim().equals("close", ignoreCase = true)) close = true
             }
         }
-        // Two ways to find the end of a message, and they may differ: where it ends must not be a guess.
-        if (chunked && length != null) throw BadMessage(400, "both a content length and chunks")
-        return Head(lines[0], length ?: 0, chunked, close)
+
+        private fun isNamed(
+            text: String,
+            from: Int,
+            colon: Int,
+            name: String,
+        ) = colon - from == name.length && text.regionMatches(from, name, 0, name.length, ignoreCase = true)
+
+        private fun readLength(value: String) {
+            if (value.isEmpty() || !value.all { it in '0'..'9' }) throw BadMessage(400, "bad content length")
+            val announced = value.toIntOrNull() ?: throw BadMessage(413, "body too large")
+            if (length != null && length != announced) throw BadMessage(400, "two content lengths")
+            length = announced
+        }
+
+        fun head(startLine: String): Head {
+            // Two ways to find the end of a message, and they may differ: where it ends must not be a guess.
+            if (chunked && length != null) throw BadMessage(400, "both a content length and chunks")
+            return Head(startLine, length ?: 0, chunked, close)
+        }
     }
 
     private companion object {
         const val CR = '\r'.code.toByte()
         const val LF = '\n'.code.toByte()
+        const val LINE_END = "\r\n"
+        const val CONTENT_LENGTH = "content-length"
+        const val TRANSFER_ENCODING = "transfer-encoding"
+        const val CONNECTION = "connection"
         const val MAX_CHUNK_LINE = 64
         const val HEX = "0123456789abcdefABCDEF"
     }
--- a/src/main/kotlin/ledgearch/http/Nio.kt
+++ b/src/main/kotlin/ledgearch/http/Nio.kt
@@ -22,12 +22,18 @@
     override fun completed(
         result: T,
         continuation: CancellableContinuation<T>,
-    ) = continuation.resume(result)
+    ) {
+        continuation.resume(result)
+        EventLoop.carryOn(continuation)
+    }
 
     override fun failed(
         cause: Throwable,
         continuation: CancellableContinuation<T>,
-    ) = continuation.resumeWithException(cause)
+    ) {
+        continuation.resumeWithException(cause)
+        EventLoop.carryOn(continuation)
+    }
 }
 
 private val resumeInt = Resume<Int>()
@@ -68,9 +74,10 @@
     }
 }
 
+/** [timeoutMs] 0: none. Each time-out costs a timer: where many connections wait, one look bounds them all. */
 internal suspend fun AsynchronousSocketChannel.readSome(
     buffer: ByteBuffer,
-    timeoutMs: Long,
+    timeoutMs: Long = 0,
 ): Int =
     suspendCancellableCoroutine {
         it.invokeOnCancellation { closeQuietly() }
--- a/src/test/kotlin/ledgearch/ConnectionsTest.kt
+++ b/src/test/kotlin/ledgearch/ConnectionsTest.kt
@@ -40,6 +40,17 @@
         assertEquals(2, connections.open)
     }
 
+    @Test
+    fun `callers who are past their time are closed, others and those being answered stay`() {
+        val (late, inTime, answered) = listOf("late", "in time", "answered").map { open(it) }
+        late.deadline = 100
+        inTime.deadline = 200
+        connections.closeLate(150)
+        assertEquals(listOf("late"), closed)
+        assertEquals(2, connections.open)
+        assertEquals(Long.MAX_VALUE, answered.deadline)
+    }
+
     @Test
     fun `kept ones stay until they are stale`() {
         val workers = listOf("w1", "w2").map { open(it, kept = true) }
--- a/src/test/kotlin/ledgearch/OwnerQueueTest.kt
+++ b/src/test/kotlin/ledgearch/OwnerQueueTest.kt
@@ -23,7 +23,7 @@
     @Test
     fun `reports overtake users, who still get their part`() {
         repeat(200) { assertTrue(queue.offer(request("/work"))) }
-        runBlocking { repeat(100) { queue.put(request("/checkin")) } }
+        runBlocking { repeat(Tuning.BATCH) { queue.put(request("/checkin")) } }
         val taken = batch()
         assertEquals(Tuning.BATCH, taken.size)
         assertEquals(Tuning.USERS_IN_BATCH, taken.count { it == "/work" })
--- a/src/test/kotlin/ledgearch/simulation/SimulatedMesh.kt
+++ b/src/test/kotlin/ledgearch/simulation/SimulatedMesh.kt
@@ -29,11 +29,14 @@
         connect(address)
     }
 
-    /** A dead process refuses connections, as does one without free sockets; one that can't be reached is silent. */
+    /**
+     * A dead process refuses connections, as does one without free sockets or that has not read the state service; one
+     * that can't be reached is silent.
+     */
     private fun look(address: String) {
         if (!isAlive() || followed != address) return
         val peer = peerAt(address)
-        if ((!peer.up || peer.refusing) && !simulation.unreachable(node.name, peer.name)) {
+        if ((!peer.isListening || peer.refusing) && !simulation.unreachable(node.name, peer.name)) {
             node.run(Command.PeerRefused(address))
         }
         simulation.clock.after(LOOK_MS) { look(address) }
--- a/src/test/kotlin/ledgearch/simulation/Simulation.kt
+++ b/src/test/kotlin/ledgearch/simulation/Simulation.kt
@@ -146,12 +146,18 @@
         val hasStandby: Boolean get() = name in standbyNodes
         private var controller: Controller? = null
         val up: Boolean get() = controller != null
+        private var startedAt = 0L
+
+        /** A process listens once it has read the state service, or after a while. */
+        val isListening: Boolean
+            get() = controller?.let { it.isReady || clock.now - startedAt >= Tuning.LISTEN_WAIT_MS } == true
         val standby: WarmStandby? get() = controller?.standby
         val takeoverMs: Long? get() = controller?.takeoverMs
         var refusing = false
 
         fun start() {
             val mine = ++life
+            startedAt = clock.now
             controller =
                 Controller(
                     settings(),
