4,000 machines: list calls leave room for others, news in several frames, silence worked out once a look

The machine list's pages used up all calls allowed to the cloud; news of all jobs was one frame; 2,000 returned machines were remembered; silence was worked out from the list of stalls four times a machine a look.

--- a/src/main/kotlin/ledgearch/core/FailureDetector.kt
+++ b/src/main/kotlin/ledgearch/core/FailureDetector.kt
@@ -26,6 +26,9 @@
     private val leaseMs = (times.leaseS * 1000).toLong()
     private var watchAt = 0L
     private val partitionedZones = PartitionedZones(now)
+    private val overdue = Silence(Tuning.OVERDUE_REPORTS)
+    private val cut = Silence(Tuning.CUT_REPORTS)
+    private val lost = Silence(Tuning.LOST_REPORTS)
 
     fun clear() = partitionedZones.clear()
 
@@ -38,6 +41,9 @@
     fun drive() {
         if (now.steady < watchAt) return
         watchAt = now.steady + Tuning.WATCH_SILENCE_MS
+        overdue.look()
+        cut.look()
+        lost.look()
         val back =
             partitionedZones.update(machines.values) {
                 if (it.inherited &&
@@ -45,10 +51,10 @@
                 ) {
                     false
                 } else {
-                    !silentFor(it, Tuning.CUT_REPORTS)
+                    !silentFor(it, cut)
                 }
             }
-        for (m in machines.values) m.overdue = silentFor(m, Tuning.OVERDUE_REPORTS)
+        for (m in machines.values) m.overdue = silentFor(m, overdue)
         if (back.isNotEmpty()) machines.values.filter { it.hall in back }.forEach(::startAnew)
         releaseMissing()
         releaseUnreached()
@@ -102,13 +108,13 @@
      * tasks for ever and be given more.
      */
     private fun releaseUnreached() {
-        val lost =
+        val unreached =
             dispatcher.broken.filter {
                 !it.releasing && !mayComeBack(it) && it.probesFailed >= Tuning.PROBES &&
                     stalls.heedfulSince(it.brokenSince) > (reportMs * Tuning.LOST_REPORTS).toLong()
             }
         val mostBroken = dispatcher.broken.size > machines.size * Tuning.MOST
-        for (m in lost) {
+        for (m in unreached) {
             // Then it may be this node, for a time.
             if (mostBroken && now.steady - m.brokenSince < Tuning.PATH_FAULT_MS) continue
             log.warn(
@@ -123,13 +129,24 @@
     /** Silence counts only while no report may wait here unread. */
     private fun silentFor(
         m: Machine,
-        reports: Double,
-    ) = stalls.heedfulSince(maxOf(m.reportedAt, election.grantedAt, partitionedZones.backAt(m.hall))) >
-        (reportMs * reports).toLong()
+        silence: Silence,
+    ) = maxOf(m.reportedAt, election.grantedAt, partitionedZones.backAt(m.hall)) <= silence.since
+
+    /** So many intervals without a report. [since] (steady ms) is worked out once a look, not for each machine. */
+    private inner class Silence(
+        private val reports: Double,
+    ) {
+        var since = Long.MIN_VALUE
+            private set
+
+        fun look() {
+            since = stalls.heedfulAgo((reportMs * reports).toLong())
+        }
+    }
 
     private fun watch() {
         val active = machines.values.filter { !it.releasing }
-        val quiet = active.count { silentFor(it, Tuning.CUT_REPORTS) }
+        val quiet = active.count { silentFor(it, cut) }
         if (quiet > 1 && active.size - quiet < active.size * Tuning.HEARD_SHARE && !election.changedInVain) {
             // Nearly all workers at once: the fault is on this node's side. Their leases run out unless another, whom
             // they may reach, takes the block soon.
@@ -140,7 +157,7 @@
         val mostMute = active.count { isMute(it) } > active.size * Tuning.MOST
         for (m in dispatcher.broken) if (!m.releasing) dispatcher.probe(m)
         for (m in machines.values.toList()) {
-            if (!silentFor(m, Tuning.OVERDUE_REPORTS)) {
+            if (!silentFor(m, overdue)) {
                 if (isTaken(m)) {
                     dispatcher.probe(m)
                     if (m.probesFailed > 0 && !m.releasing) {
@@ -151,7 +168,7 @@
                 continue
             }
             if (m.confirmed && !m.releasing) dispatcher.probe(m)
-            if (!silentFor(m, Tuning.LOST_REPORTS) && !surelyLost(m, heard)) continue
+            if (!silentFor(m, lost) && !surelyLost(m, heard)) continue
             if (!m.releasing && !mayComeBack(m) && !(mostMute && isMute(m))) {
                 log.warn("machine {} is silent for {} ms; it is released", m.name, now.steady - m.reportedAt)
                 release(m)
@@ -166,7 +183,7 @@
      */
     private fun isMute(m: Machine) =
         m.confirmed && m.probesFailed == 0 && !m.pushBroken && m.heardAt > m.reportedAt &&
-            silentFor(m, Tuning.CUT_REPORTS) && now.steady - m.reportedAt < Tuning.PATH_FAULT_MS
+            silentFor(m, cut) && now.steady - m.reportedAt < Tuning.PATH_FAULT_MS
 
     /** The time that its notice gave is over, and it was not heard since. */
     private fun isTaken(m: Machine) =
--- a/src/main/kotlin/ledgearch/core/StallCompensation.kt
+++ b/src/main/kotlin/ledgearch/core/StallCompensation.kt
@@ -72,6 +72,20 @@
         return now.steady - time - behind
     }
 
+    /** The latest time (steady ms) since which this node kept up for more than [ms]: the inverse of [heedfulSince]. */
+    fun heedfulAgo(ms: Long): Long {
+        var left = ms
+        var end = now.steady
+        for (i in stalls.indices.reversed()) {
+            val stall = stalls[i]
+            val kept = (end - stall.until).coerceAtLeast(0)
+            if (kept > left) break
+            left -= kept
+            end = minOf(end, stall.from)
+        }
+        return end - left - 1
+    }
+
     /**
      * At most one pass in a while, more seldom while this node is behind and after one that took long: a pass for every
      * batch would keep it behind, and leave workers without answers.
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -61,7 +61,8 @@
     private val log = LoggerFactory.getLogger("ledgearch.fleet")
     private val address = settings.outside.cloud
     private val listLagMs = (settings.deployment.cloud.listLagS * 1000).toLong()
-    private val bucket = TokenBucket(settings.deployment.cloud.rps * Tuning.BUDGET_USED)
+    private val callsASecond = settings.deployment.cloud.rps * Tuning.BUDGET_USED
+    private val bucket = TokenBucket(callsASecond)
     private var catalogAt = Long.MIN_VALUE
     private var catalogBusy = false
     private var listAt = 0L
@@ -174,29 +175,33 @@
                 booting.remove(name)
                 leader.machines[name]?.let(leader::machineGone)
             }
-            while (returned.size > Tuning.RETURNED_KEPT) returned.remove(returned.first())
+            val kept = maxOf(Tuning.RETURNED_KEPT, leader.machines.size)
+            while (returned.size > kept) returned.remove(returned.first())
         }
     }
 
     private fun driveList(leader: Leader) {
         if (listBusy || now.steady < listAt || !bucket.has(1)) return
         listBusy = true
-        listAt = now.steady + Tuning.LIST_MS
-        listPage(leader, "")
+        listPage(leader, "", 1)
     }
 
     private fun listPage(
         leader: Leader,
         since: String,
+        page: Int,
     ) {
         call("GET", "/hosts?since=$since&limit=500", null) { reply ->
             listBusy = false
+            // Thousands of machines take several calls, and rentals and returns need some of those allowed too.
+            listAt =
+                now.steady + maxOf(Tuning.LIST_MS, (page * Tuning.LIST_PAGE_CALLS * MS_PER_S / callsASecond).toLong())
             val list = parse(reply) { WireJson.decodeFromString(StoveList.serializer(), it) } ?: return@call
             if (!election().holding) return@call
             list.stoves.forEach { listed(leader, it) }
             if (list.hasNext && list.stoves.isNotEmpty()) {
                 listBusy = true
-                listPage(leader, list.stoves.last().ref)
+                listPage(leader, list.stoves.last().ref, page + 1)
             }
         }
     }
@@ -554,6 +559,7 @@
         }
 
     private companion object {
+        const val MS_PER_S = 1000.0
         const val MAX_RELEASE = 100
         const val MAX_RENT = 50
 
--- a/src/main/kotlin/ledgearch/mesh/MeshLinks.kt
+++ b/src/main/kotlin/ledgearch/mesh/MeshLinks.kt
@@ -133,8 +133,11 @@
 
     override fun publish(news: LeaderStatus) {
         if (followers.isEmpty()) return
-        val frame = Frames.encode(news)
-        followers.values.forEach { it.queue.trySend(frame) }
+        // Several frames where there are very many jobs: a frame has a size that it may not pass.
+        for (part in news.progress.chunked(Tuning.JOBS_A_FRAME).ifEmpty { listOf(emptyList()) }) {
+            val frame = Frames.encode(LeaderStatus(part, news.served))
+            followers.values.forEach { it.queue.trySend(frame) }
+        }
     }
 
     override fun follow(address: String?) {
--- a/src/test/kotlin/ledgearch/MeshLinksTest.kt
+++ b/src/test/kotlin/ledgearch/MeshLinksTest.kt
@@ -8,6 +8,7 @@
 import ledgearch.mesh.LeaderStatus
 import ledgearch.mesh.MeshEvents
 import ledgearch.mesh.MeshLinks
+import ledgearch.mesh.Progress
 import ledgearch.mesh.StreamFrames
 import ledgearch.standby.StandbyEvent
 import ledgearch.standby.StreamCodec
@@ -93,6 +94,21 @@
         assertNull(atLeader.standby.poll())
     }
 
+    @Test
+    fun `more jobs than one frame holds are told of in several`() {
+        val address = freeAddress()
+        val atLeader = Heard()
+        val leader = leader(atLeader, address)
+        val follower = Heard()
+        follow(address, follower, streams = true)
+        next(atLeader.standby)
+        val jobs = List(2 * Tuning.JOBS_A_FRAME + 1) { Progress("job-$it", it, 1) }
+        onOwner { leader.publish(LeaderStatus(jobs, served = true)) }
+        val heard = List(3) { next(follower.statuses)?.progress.orEmpty() }
+        assertEquals(jobs, heard.flatten())
+        assertTrue(heard.all { it.size <= Tuning.JOBS_A_FRAME })
+    }
+
     @Test
     fun `a connection that says something else is closed, and the others go on`() {
         val address = freeAddress()
--- a/src/test/kotlin/ledgearch/StallCompensationTest.kt
+++ b/src/test/kotlin/ledgearch/StallCompensationTest.kt
@@ -73,4 +73,19 @@
         assertEquals(10_000, stalls.heedfulSince(10_000))
         assertFalse(stalls.wasBehindSince(10_000))
     }
+
+    @Test
+    fun `the time since which a node kept up for so long is the one that the silence since a time gives`() {
+        ticksInTime(1_000, 5_000)
+        tickAt(8_000)
+        ticksInTime(8_050, 12_000)
+        tickAt(13_500)
+        ticksInTime(13_550, 20_000)
+        for (ms in 0L..14_000L step 137) {
+            for (time in 1_000L..20_000L step 89) {
+                val since = stalls.heedfulAgo(ms)
+                assertEquals(stalls.heedfulSince(time) > ms, time <= since, "$ms ms, since $time: $since")
+            }
+        }
+    }
 }
