The time for sockets before the owner's turn is bounded, not the looks

Cause: 32 looks took a node short of processor time a fraction of a second, so it counted as behind throughout its take-over and confirmed its machines 28 to 35 s after the grant.

--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -5,12 +5,18 @@
     // --- The machine ---
 
     /**
-     * MB. What the process takes at the most with a thousand machines, by the command line in deploy/service.toml: 96 of
-     * heap, 24 of compiled code, 24 of classes, in the archive or else in metaspace, and 12 of stacks and the virtual
+     * MB. What the process takes at the most with a thousand machines, by the command line in deploy/service.toml: 96
+     * of heap, 24 of compiled code, 24 of classes, in the archive or else in metaspace, and 12 of stacks and the virtual
      * machine's own. Where more machines and jobs need it, the heap grows beyond that.
      */
     const val MEMORY_MB = 156.0
 
+    /** MB. A controller that leads nobody and serves few users takes some 42. */
+    const val LEAST_MEMORY_MB = 45.0
+
+    /** Sockets. The state service, the cloud, two addresses, the other controllers, and a few callers. */
+    const val LEAST_SOCKETS = 16
+
     /** Sockets. With fewer than this a small deployment's users already have to take turns. */
     const val FEW_SOCKETS = 128
 
@@ -90,8 +96,11 @@
     /** ms. Between two looks for timers that are due: no time-out or pause here needs more precision. */
     const val TIMER_STEP_MS = 50L
 
-    /** Looks at the sockets. So many go before the owner's turn while each finds something: some 30 callers get in. */
-    const val SOCKET_ROUNDS = 32
+    /**
+     * ms. So long looks at the sockets go before the owner's turn while each finds something. By looks alone, a node
+     * short of processor time would take a fraction of a second for them, and count as behind.
+     */
+    const val SOCKETS_MS = 50L
 
     /** ms. Time-driven work; a twentieth of the shortest wait that users ask for. */
     const val TICK_MS = 50L
--- a/src/main/kotlin/ledgearch/http/EventLoop.kt
+++ b/src/main/kotlin/ledgearch/http/EventLoop.kt
@@ -48,7 +48,7 @@
     private var socketEvents = 0L
 
     /**
-     * Work that waits until no socket has anything more, or for [Tuning.SOCKET_ROUNDS] looks at the sockets: it then
+     * Work that waits until no socket has anything more, or for [Tuning.SOCKETS_MS] of looking at the sockets: it then
      * sees together what has come. A look accepts one connection at most, so without this work that takes long would
      * let hundreds of callers wait to be accepted.
      */
@@ -57,16 +57,19 @@
             override fun dispatch(
                 context: CoroutineContext,
                 block: Runnable,
-            ) = execute { afterSockets(block, Tuning.SOCKET_ROUNDS) }
+            ) {
+                val until = nowMs() + Tuning.SOCKETS_MS
+                execute { afterSockets(block, until) }
+            }
         }
 
     /** Tasks and sockets that are found ready by one look come in any order, so this look's may be yet to come. */
     private fun afterSockets(
         block: Runnable,
-        roundsLeft: Int,
+        until: Long,
     ) {
         val seen = socketEvents
-        execute { if (socketEvents == seen || roundsLeft == 0) block.run() else afterSockets(block, roundsLeft - 1) }
+        execute { if (socketEvents == seen || nowMs() >= until) block.run() else afterSockets(block, until) }
     }
 
     private class Timer(
--- a/src/test/kotlin/ledgearch/EventLoopTest.kt
+++ b/src/test/kotlin/ledgearch/EventLoopTest.kt
@@ -75,7 +75,7 @@
     }
 
     private companion object {
-        /** Fewer than the looks at the sockets before each turn. */
+        /** Few enough to be accepted in the time that goes to the sockets before each turn. */
         const val CALLERS = 12
         const val LIMIT_S = 20L
     }
