--- a/src/main/kotlin/ledgearch/config/SettingsLoader.kt
+++ b/src/main/kotlin/ledgearch/config/SettingsLoader.kt
@@ -96,6 +96,7 @@
                 return "$field: $value must be above 0 and finite"
             }
         }
+        tooSmall(deployment.quota)?.let { return it }
         for (team in deployment.teams) {
             val amounts =
                 mapOf(
@@ -112,6 +113,23 @@
         return null
     }
 
+    /** No memory is told of by 0. */
+    private fun tooSmall(quota: NodeQuota): String? =
+        when {
+            quota.memoryMb > 0.0 && quota.memoryMb < Tuning.LEAST_MEMORY_MB -> {
+                "deployment.quota.memory_mb: ${quota.memoryMb} can't hold the service; " +
+                    "it takes ${Tuning.LEAST_MEMORY_MB}"
+            }
+
+            quota.fdLimit < Tuning.LEAST_SOCKETS -> {
+                "deployment.quota.fd_limit: ${quota.fdLimit} can't hold the service; it takes ${Tuning.LEAST_SOCKETS}"
+            }
+
+            else -> {
+                null
+            }
+        }
+
     private fun tooFewChanges(limits: StateLimits): String? {
         if (limits.safeTxnOps >= Tuning.FEW_CHANGES) return null
         return "deployment.state.txn_ops: ${limits.safeTxnOps} is too little; " +
