--- a/src/main/kotlin/ledgearch/Tuning.kt
+++ b/src/main/kotlin/ledgearch/Tuning.kt
@@ -6,8 +6,8 @@
 
     /**
      * MB. What the process takes at the most with a thousand machines, by the command line in deploy/service.toml: 96
-     * of heap, 24 of compiled code, 24 of classes, in the archive or else in metaspace, and 12 of stacks and the virtual
-     * machine's own. Where more machines and jobs need it, the heap grows beyond that.
+     * of heap, 24 of compiled code, 24 of classes, in the archive or else in metaspace, and 12 of stacks and the
+     * virtual machine's own. Where more machines and jobs need it, the heap grows beyond that.
      */
     const val MEMORY_MB = 156.0
 
