--- a/src/test/kotlin/ledgearch/loopback/ProcessorTimes.kt
+++ b/src/test/kotlin/ledgearch/loopback/ProcessorTimes.kt
@@ -11,8 +11,6 @@
     private val nanosByThread: Map<String, Long>,
     val peakMemoryKb: Long,
 ) {
-    val totalMs: Double get() = nanosByThread.values.sum() / NANOS_PER_MS
-
     /** What was used after [before] was taken, in milliseconds, greatest first. */
     fun msSince(before: ProcessorTimes): List<Pair<String, Double>> =
         nanosByThread
