Take-over: a missing machine is found out also by a leader that never quite keeps up; status command; standby in the loopback test

A new leader that is always a little behind counts no unanswered probe, since the answer may wait unread, so the machine was given up for its silence only, and every older job waited for it.

A machine that answered none of two probes is missing once most of the others have sent reports after the first of them, which were read. A machine that the replica says was being returned is asked at once and is missing after one unanswered probe, when most others are confirmed. A release stays the only proof.

Also: `ledgearch status HOST:PORT...` tells who leads and how far standbys are behind; the loopback test kills the leader with warm standby switched on; a planted defect in the stream shows that the comparison of replicas notices; the load tool takes an operators' file.

--- a/src/main/kotlin/ledgearch/cli/ExitCodes.kt
+++ b/src/main/kotlin/ledgearch/cli/ExitCodes.kt
@@ -15,4 +15,7 @@
 
     /** The process can't go on and is to be started again. */
     const val FAILURE = 5
+
+    /** A controller that was asked does not answer. */
+    const val UNREACHABLE = 6
 }
--- a/src/main/kotlin/ledgearch/cli/Main.kt
+++ b/src/main/kotlin/ledgearch/cli/Main.kt
@@ -1,9 +1,14 @@
 package ledgearch.cli
 
+import kotlinx.coroutines.runBlocking
+import ledgearch.client.StatusCommand
+import ledgearch.client.StatusReader
 import ledgearch.config.OperatorLoader
 import ledgearch.config.Settings
 import ledgearch.config.SettingsException
 import ledgearch.config.SettingsLoader
+import ledgearch.http.EventLoop
+import ledgearch.http.HttpClient
 import org.apache.commons.cli.DefaultParser
 import org.apache.commons.cli.Option
 import org.apache.commons.cli.Options
@@ -16,13 +21,15 @@
 
   serve --config FILE         run a controller until it is killed
   check-config --config FILE  check the settings file and print what is in effect
-  --operator FILE             operators' own settings (JSON), for both commands
+  status HOST:PORT...         ask controllers who leads and how far standbys are behind
+  --operator FILE             operators' own settings (JSON), for serve and check-config
   --version                   print the version
   --help                      print this help
 
 LOG_LEVEL (error, warn, info, debug) sets the amount of logging on standard error.
 exit codes: 0 fine, 2 wrong usage, 3 settings can't be used, 4 an address can't be listened on,
-5 the process could not go on (no memory, for one) and is to be started again"""
+5 the process could not go on (no memory, for one) and is to be started again,
+6 a controller does not answer"""
 
 private val OPTIONS =
     Options()
@@ -60,8 +67,9 @@
     if (line.hasOption("help")) return ExitCodes.OK.also { println(USAGE) }
     if (line.hasOption("version")) return ExitCodes.OK.also { println("ledgearch ${Version.text}") }
     val words = line.argList
-    if (words.size > 1) return usage("unknown argument: ${words[1]}")
     val command = words.firstOrNull() ?: return usage("no command")
+    if (command == "status") return status(words.drop(1))
+    if (words.size > 1) return usage("unknown argument: ${words[1]}")
     if (command == "warm-up") return warmUp()
     if (command != "serve" && command != "check-config") return usage("unknown command: $command")
     val file = line.getOptionValue("config") ?: return usage("$command needs --config FILE")
@@ -88,6 +96,14 @@
         ExitCodes.ADDRESS
     }
 
+private fun status(addresses: List<String>): Int {
+    if (addresses.isEmpty()) return usage("status needs the address of a controller")
+    val loop = EventLoop("ledgearch-status")
+    val reader = StatusReader(HttpClient(loop.group))
+    val allAnswered = runBlocking(loop) { StatusCommand(reader::read, ::println).run(addresses) }
+    return if (allAnswered) ExitCodes.OK else ExitCodes.UNREACHABLE
+}
+
 private fun usage(problem: String): Int {
     System.err.println("ledgearch: $problem\n\n$USAGE")
     return ExitCodes.USAGE
--- /dev/null
+++ b/src/main/kotlin/ledgearch/client/StatusText.kt
@@ -0,0 +1,40 @@
+package ledgearch.client
+
+import ledgearch.core.MetricsReport
+import ledgearch.standby.StandbyReport
+
+/** The status of a controller as text for people: one line, and one more for each feature that is switched on. */
+internal object StatusText {
+    fun of(
+        address: String,
+        status: ControllerStatus,
+    ): List<String> =
+        when (status) {
+            is ControllerStatus.NoAnswer -> listOf("$address: no answer")
+            is ControllerStatus.Answered -> listOf("$address: ${summary(status.report)}") + details(status.report)
+        }
+
+    private fun summary(report: MetricsReport): String {
+        val role = if (report.token == 0L) "does not lead" else "leads under token ${report.token}"
+        val work = "${report.openJobs} open jobs, ${report.machines} machines, ${report.tasks} tasks"
+        return "${report.node} $role, $work"
+    }
+
+    private fun details(report: MetricsReport): List<String> =
+        listOfNotNull(
+            report.standby?.let {
+                "  standby: ${standby(it)}"
+            },
+        )
+
+    private fun standby(report: StandbyReport): String =
+        if (report.role == StandbyReport.LEADER) {
+            "streams to ${report.followers} followers, term ${report.term}, sequence ${report.sequence}, " +
+                "${report.recordsBehind} records behind, ${report.snapshotsSent} snapshots sent, " +
+                "${report.streamsDropped} streams dropped, ${report.bytesSent} bytes sent"
+        } else {
+            val lag = if (report.msBehind < 0) "no whole replica" else "${report.msBehind} ms behind"
+            "follows term ${report.term}, sequence ${report.sequence}, ${report.recordsHeld} records held, " +
+                "${report.recordsBehind} records and $lag, ${report.replicasDropped} replicas dropped"
+        }
+}
--- a/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
+++ b/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
@@ -104,6 +104,7 @@
     /** The machine took what it was sent. */
     fun reached(m: Machine) {
         m.probesFailed = 0
+        m.probeAnswered()
         // What was lost meanwhile is told once more.
         if (m.pushBroken) want(m)
         m.pushBroken = false
@@ -212,6 +213,7 @@
             m.pushing = false
             probesOpen--
             if (answer == null) {
+                m.probeUnanswered(sentAt)
                 if (!stalls.wasBehindSince(sentAt)) {
                     m.probesFailed++
                     if (!m.confirmed) missed(m)
@@ -225,9 +227,11 @@
 
     /**
      * A machine that a new leader has just read reports within an interval, and the answer renews its lease, as that of
-     * a probe does not. While this node does not keep up, probes would only delay the answers to reports.
+     * a probe does not. While this node does not keep up, probes would only delay the answers to reports. One that was
+     * being returned is most likely gone.
      */
-    private fun reportsByItself(m: Machine) = stalls.isBehind && m.inherited && now.steady - m.knownSince < dueMs
+    private fun reportsByItself(m: Machine) =
+        stalls.isBehind && m.inherited && !m.returningHint && now.steady - m.knownSince < dueMs
 
     private fun parse(reply: Reply): CheckIn? =
         try {
--- a/src/main/kotlin/ledgearch/core/FailureDetector.kt
+++ b/src/main/kotlin/ledgearch/core/FailureDetector.kt
@@ -26,6 +26,7 @@
     private val leaseMs = (times.leaseS * 1000).toLong()
     private var watchAt = 0L
     private val partitionedZones = PartitionedZones(now)
+    private val missingMachines = MissingMachines(election, stalls, (reportMs * Tuning.CUT_REPORTS).toLong())
     private val overdue = Silence(Tuning.OVERDUE_REPORTS)
     private val cut = Silence(Tuning.CUT_REPORTS)
     private val lost = Silence(Tuning.LOST_REPORTS)
@@ -56,7 +57,10 @@
             }
         for (m in machines.values) m.overdue = silentFor(m, overdue)
         if (back.isNotEmpty()) machines.values.filter { it.hall in back }.forEach(::startAnew)
-        releaseMissing()
+        for (m in missingMachines.among(machines.values.filter { it.inherited && !mayComeBack(it) })) {
+            log.warn("machine {} of the block answers no probe; it is released", m.name)
+            release(m)
+        }
         releaseUnreached()
         watch()
     }
@@ -75,34 +79,6 @@
         fleet.release(m)
     }
 
-    /**
-     * An inherited machine that answers no probe while most others do is most likely gone already, and every older
-     * job waits for it: it is released sooner than a silent machine would be otherwise.
-     */
-    private fun releaseMissing() {
-        if (machines.values.none { it.inherited && !it.confirmed }) return
-        val inherited = machines.values.filter { it.inherited && !mayComeBack(it) }
-        val missing = inherited.filter { !it.confirmed && !it.releasing && it.probesFailed >= Tuning.PROBES }
-        if (missing.isEmpty() || !hearsEnough(inherited.count { it.confirmed }, inherited.size)) return
-        for (m in missing) {
-            log.warn("machine {} of the block answers no probe; it is released", m.name)
-            release(m)
-        }
-    }
-
-    /**
-     * Where most machines are missing, it takes the time in which every worker would have reported by itself to tell
-     * that it is not this node, and as long as it is heard by some.
-     */
-    private fun hearsEnough(
-        confirmed: Int,
-        all: Int,
-    ) = confirmed > all * Tuning.MOST ||
-        (
-            confirmed > all * Tuning.HEARD_SHARE &&
-                stalls.heedfulSince(election.grantedAt) > (reportMs * Tuning.CUT_REPORTS).toLong()
-        )
-
     /**
      * Reports alone are no health: a machine that is heard, but that neither answers nor commands reach, would hold its
      * tasks for ever and be given more.
--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -357,6 +357,7 @@
         val current = !isReport || m.confirmed || report.token >= term
         if (isReport && report.ticket > m.reportTicket) {
             m.reportTicket = report.ticket
+            m.reportSentAfter = m.reportAt
             m.reportAt = now.steady
             if (current) {
                 m.heardAt = now.steady
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -36,6 +36,9 @@
 
     /** Steady ms at which the report with that ticket first came. */
     var reportAt = 0L
+
+    /** Steady ms after which that report was sent: a worker sends the next one once the one before was answered. */
+    var reportSentAfter = 0L
     var token = 0L
 
     /** All attempts that may be on the machine, by attempt. */
@@ -67,8 +70,28 @@
     /** Steady ms since when nothing sent has reached the machine, or 0. */
     var brokenSince = 0L
     var probeAt = 0L
+
+    /** Probes in a row without an answer, those left out that this node may have been too slow to read. */
     var probesFailed = 0
 
+    /** All probes in a row without an answer, and the steady ms at which the first of them was sent; 0 without any. */
+    var probesUnanswered = 0
+        private set
+    var unansweredSince = 0L
+        private set
+
+    fun probeUnanswered(sentAt: Long) {
+        if (probesUnanswered++ == 0) unansweredSince = sentAt
+    }
+
+    fun probeAnswered() {
+        probesUnanswered = 0
+        unansweredSince = 0L
+    }
+
+    /** A replica of the last leader's state says that the machine was being returned. */
+    var returningHint = false
+
     /** Nothing new is started: to be emptied and returned. */
     var draining = false
 
--- a/src/main/kotlin/ledgearch/standby/TakeoverHints.kt
+++ b/src/main/kotlin/ledgearch/standby/TakeoverHints.kt
@@ -31,7 +31,10 @@
     ) {
         val hint = machines[machine.name] ?: return
         machine.sessionHint = hint.session.coerceAtLeast(0)
-        if (hint.returning) machine.refusedUntil = now.steady + Tuning.RETURNING_HINT_MS
+        if (hint.returning) {
+            machine.refusedUntil = now.steady + Tuning.RETURNING_HINT_MS
+            machine.returningHint = true
+        }
         for (image in hint.images.take(Tuning.MACHINE_TASKS)) {
             if (!(image.gigabytes >= 0.0) || image.gigabytes.isInfinite()) continue
             machine.touchImage(image.name, image.gigabytes)
--- a/src/main/kotlin/ledgearch/standby/WarmStandby.kt
+++ b/src/main/kotlin/ledgearch/standby/WarmStandby.kt
@@ -24,7 +24,12 @@
     @SerialName("replicas_dropped") val replicasDropped: Long,
     @SerialName("bytes_sent") val bytesSent: Long,
     @SerialName("changes_sent") val changesSent: Long,
-)
+) {
+    companion object {
+        const val LEADER = "leader"
+        const val FOLLOWER = "follower"
+    }
+}
 
 /**
  * Warm standby: on the leader it streams the state to followers that asked for it, elsewhere it keeps a replica. Run by
@@ -156,7 +161,7 @@
 
     fun report(leading: Boolean) =
         StandbyReport(
-            if (leading) "leader" else "follower",
+            if (leading) StandbyReport.LEADER else StandbyReport.FOLLOWER,
             if (leading) streamLog.term else replica.term,
             if (leading) streamLog.sequence else replica.sequence,
             if (leading) streamLog.records.size else replica.records.size,
--- a/src/test/kotlin/ledgearch/PlantedDefectTest.kt
+++ b/src/test/kotlin/ledgearch/PlantedDefectTest.kt
@@ -1,6 +1,7 @@
 package ledgearch
 
 import ledgearch.simulation.Scenario
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
@@ -60,6 +61,24 @@
         assertFound("too_early", found)
     }
 
+    @Test
+    fun `a stream that leaves out a record makes a replica that differs from its leader`() {
+        assertTrue(streamed("stream planted 0.5 until 40").any { "the replica of term" in it })
+    }
+
+    @Test
+    fun `a stream without a defect makes replicas that equal their leader`() {
+        assertEquals(emptyList<String>(), streamed(""))
+    }
+
+    private fun streamed(fault: String): List<String> {
+        val steps = if (fault.isEmpty()) "" else "10 $fault\n"
+        val text =
+            "nodes 3\nstandby n1 n2 n3\nmachines a*2 b*2\n" + steps +
+                "12 submit job-1 tasks=6 run=20\n15 submit job-2 tasks=6 run=10\n50 expect job-1 done"
+        return Scenario(text).play()
+    }
+
     @Test
     fun `without a defect nothing is found`() {
         val found =
--- a/src/test/kotlin/ledgearch/loopback/ControllerProcess.kt
+++ b/src/test/kotlin/ledgearch/loopback/ControllerProcess.kt
@@ -38,10 +38,10 @@
     fun processorTimes(): ProcessorTimes = process?.let { ProcessorTimes.of(it.pid()) } ?: ProcessorTimes.NONE
 
     private fun command(): List<String> {
-        if (deployFile != null) return deployedCommand(deployFile) + configFile.toString()
+        val operator = operatorFile?.let { listOf("--operator", it.toString()) }.orEmpty()
+        if (deployFile != null) return deployedCommand(deployFile) + configFile.toString() + operator
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
         val program = listOf("-cp", classPath(), "ledgearch.cli.MainKt", "serve", "--config", configFile.toString())
-        val operator = operatorFile?.let { listOf("--operator", it.toString()) }.orEmpty()
         return listOf(java) + VM_OPTIONS + program + operator
     }
 
--- a/src/test/kotlin/ledgearch/loopback/LoopbackCluster.kt
+++ b/src/test/kotlin/ledgearch/loopback/LoopbackCluster.kt
@@ -1,6 +1,9 @@
 package ledgearch.loopback
 
+import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
+import ledgearch.client.ControllerStatus
+import ledgearch.client.StatusReader
 import ledgearch.config.CloudLimits
 import ledgearch.config.Deployment
 import ledgearch.config.Member
@@ -9,6 +12,8 @@
 import ledgearch.config.Settings
 import ledgearch.config.Team
 import ledgearch.config.WorkerTimes
+import ledgearch.http.EventLoop
+import ledgearch.http.HttpClient
 import ledgearch.simulation.CloudStandIn
 import ledgearch.simulation.Simulation
 import java.nio.file.Path
@@ -134,11 +139,24 @@
         return (seen + logs).joinToString("\n")
     }
 
-    private fun lastLines(name: String) = logFile(name).readLines().takeLast(LOG_LINES).map { "$name: $it" }
+    private fun lastLines(name: String) = logOf(name).takeLast(LOG_LINES).map { "$name: $it" }
+
+    /** What the controller has logged so far. */
+    fun logOf(name: String): List<String> = logFile(name).readLines()
+
+    private val statusLoop = lazy(LazyThreadSafetyMode.NONE) { EventLoop("loopback-status") }
+
+    /** The status of the controller as the command line asks for it. */
+    fun status(name: String): ControllerStatus {
+        val loop = statusLoop.value
+        val reader = StatusReader(HttpClient(loop.group))
+        return runBlocking(loop) { reader.read(listenAddresses.getValue(name)) }
+    }
 
     override fun close() {
         endControllers()
         simulation.close()
+        if (statusLoop.isInitialized()) statusLoop.value.group.shutdownNow()
         runCatching { Runtime.getRuntime().removeShutdownHook(endOfProgram) }
     }
 
--- a/src/test/kotlin/ledgearch/loopback/ProcessorLoad.kt
+++ b/src/test/kotlin/ledgearch/loopback/ProcessorLoad.kt
@@ -5,9 +5,10 @@
 import kotlin.system.exitProcess
 
 /**
- * Prints the processor time of controllers by phase and thread: `java -Dmachines=200 -Dseconds=20 -Ddeploy=FILE -cp ...
- * ledgearch.loopback.ProcessorLoadKt`. All properties may be left out; with `deploy` the controllers run by the command
- * line of that file. The exit code is 1 when a rule was broken.
+ * Prints the processor time of controllers by phase and thread: `java -Dmachines=200 -Dseconds=20 -Ddeploy=FILE
+ * -Doperator=FILE -cp ... ledgearch.loopback.ProcessorLoadKt`. All properties may be left out; with `deploy` the
+ * controllers run by the command line of that file, with `operator` by that operators' settings file. The exit code is
+ * 1 when a rule was broken.
  */
 fun main() {
     val machines = System.getProperty("machines")?.toInt() ?: LoadOptions.MACHINES
@@ -15,9 +16,10 @@
     require(machines in 1..ProcessorLoad.MOST_MACHINES && seconds in 1..ProcessorLoad.MOST_SECONDS)
     val folder = Files.createTempDirectory("ledgearch-processor")
     val deploy = System.getProperty("deploy")?.let(Path::of)
+    val operator = System.getProperty("operator")?.let { Path.of(it).toAbsolutePath() }
     val problems =
         try {
-            LoopbackCluster(folder, machines, operatorFile = null, deployFile = deploy).use {
+            LoopbackCluster(folder, machines, operator, deploy).use {
                 ProcessorLoad(it, machines, seconds).run()
             }
         } finally {
--- a/src/test/kotlin/ledgearch/loopback/TakeoverTest.kt
+++ b/src/test/kotlin/ledgearch/loopback/TakeoverTest.kt
@@ -1,5 +1,7 @@
 package ledgearch.loopback
 
+import ledgearch.client.ControllerStatus
+import ledgearch.client.StatusText
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -36,6 +38,48 @@
             expectServedOnce(cluster, workload)
         }
 
+    @Test
+    @Timeout(TEST_LIMIT_S)
+    fun `with warm standby the leader is killed, and its follower takes over from the replica`() =
+        LoopbackCluster(folder, MACHINES, STANDBY_SETTINGS).use { cluster ->
+            val workload = begin(cluster)
+            val killed = checkNotNull(cluster.leader())
+            workload.submitArrays(ARRAYS)
+            cluster.await("arrays run", STEP_LIMIT_MS) { workload.runningArrayTasks() > 0 }
+            val follower = cluster.controllers.keys.first { it != killed.name }
+            cluster.await("$follower holds a replica", STEP_LIMIT_MS) { replicaOf(cluster, follower) > 0 }
+            expectStatusTells(cluster)
+
+            val watch = cluster.simulation.call { TakeoverWatch(cluster.simulation) }
+            killed.kill()
+            workload.submitArrays(ARRAYS)
+            cluster.await("take-over", STEP_LIMIT_MS) { cluster.simulation.call { watch.times.complete } }
+            expectOrder(watch.times)
+            assertTrue(cluster.logOf(checkNotNull(cluster.leader()).name).any { TAKEN_OVER_WARM.containsMatchIn(it) })
+
+            killed.start()
+            cluster.await("${killed.name} joins", STEP_LIMIT_MS) { cluster.isReady(killed.name) }
+            expectServedOnce(cluster, workload)
+        }
+
+    /** Records of machines and more that the replica of [name] holds, by its own metrics; 0 without a whole one. */
+    private fun replicaOf(
+        cluster: LoopbackCluster,
+        name: String,
+    ): Int {
+        val status = cluster.status(name) as? ControllerStatus.Answered ?: return 0
+        val standby = status.report.standby ?: return 0
+        return if (standby.msBehind >= 0) standby.recordsHeld else 0
+    }
+
+    /** The command line's status names one leader, and the lag of each follower. */
+    private fun expectStatusTells(cluster: LoopbackCluster) {
+        val lines = cluster.controllers.keys.flatMap { StatusText.of(it, cluster.status(it)) }
+        assertEquals(1, lines.count { "leads under token" in it }, lines.toString())
+        assertEquals(2, lines.count { "ms behind" in it }, lines.toString())
+        assertEquals(1, lines.count { "streams to 2 followers" in it }, lines.toString())
+    }
+
     @Test
     @Timeout(TEST_LIMIT_S)
     fun `the leader is frozen past its lease and wakes`() =
@@ -94,5 +138,9 @@
         const val ARRAYS = 8
         const val STEP_LIMIT_MS = 30_000L
         const val TEST_LIMIT_S = 90L
+        val STANDBY_SETTINGS: Path = Path.of("deploy/operator-warm-standby.json").toAbsolutePath()
+
+        /** What a new leader logs that has a replica of the leader before. */
+        val TAKEN_OVER_WARM = Regex("take-over under term \\d+: [1-9]\\d* machines in the replica")
     }
 }
--- a/src/test/kotlin/ledgearch/simulation/StreamFaults.kt
+++ b/src/test/kotlin/ledgearch/simulation/StreamFaults.kt
@@ -1,11 +1,12 @@
 package ledgearch.simulation
 
+import ledgearch.standby.StreamCodec
 import okio.ByteString
 import okio.ByteString.Companion.toByteString
 
 /** What goes wrong on decision streams: drawn for each frame while the fault lasts. */
 internal class StreamFaults {
-    enum class Kind { LOST, DUPLICATED, REORDERED, MALFORMED, OLD_TERM, FULL, NONSENSE }
+    enum class Kind { LOST, DUPLICATED, REORDERED, MALFORMED, OLD_TERM, FULL, NONSENSE, PLANTED }
 
     private class Fault(
         val kind: Kind,
@@ -94,6 +95,10 @@
                 deliver(StreamNonsense(simulation, simulation.random).of(body), 0)
             }
 
+            Kind.PLANTED -> {
+                deliver(withoutLastRecord(body), 0)
+            }
+
             Kind.OLD_TERM -> {
                 deliver(kept[connection.to.name] ?: body, 0)
             }
@@ -108,6 +113,12 @@
         return fault != Kind.FULL
     }
 
+    /** A planted defect: one record is left out, and nothing tells so. */
+    private fun withoutLastRecord(body: ByteString): ByteString {
+        val frame = StreamCodec.decode(body)
+        return StreamCodec.encode(frame.copy(records = frame.records.dropLast(1)))
+    }
+
     private fun cutShort(body: ByteString) = body.toByteArray().copyOf(body.size / 2).toByteString()
 
     private companion object {
