--- a/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
@@ -103,7 +103,7 @@
                 stove = MACHINE,
                 endpoint = settings.outside.cloud,
                 rack = "r",
-                hall = "z",
+                zone = "z",
                 shift = 1,
                 ticket = ++sequence,
                 token = token,
--- a/src/main/kotlin/ledgearch/client/StatusText.kt
+++ b/src/main/kotlin/ledgearch/client/StatusText.kt
@@ -1,7 +1,10 @@
 package ledgearch.client
 
 import ledgearch.core.MetricsReport
+import ledgearch.recovery.RecoveryReport
+import ledgearch.recovery.ZoneReport
 import ledgearch.standby.StandbyReport
+import java.util.Locale
 
 /** The status of a controller as text for people: one line, and one more for each feature that is switched on. */
 internal object StatusText {
@@ -21,11 +24,17 @@
     }
 
     private fun details(report: MetricsReport): List<String> =
-        listOfNotNull(
-            report.standby?.let {
-                "  standby: ${standby(it)}"
-            },
-        )
+        report.standby?.let { listOf("  standby: ${standby(it)}") }.orEmpty() +
+            report.recovery?.let(::recovery).orEmpty()
+
+    private fun recovery(report: RecoveryReport): List<String> {
+        val displaced = report.displaced.entries.joinToString { (group, tasks) -> "$group $tasks" }
+        return report.zones.map(::zone) + "  displaced tasks that wait: ${displaced.ifEmpty { "none" }}"
+    }
+
+    private fun zone(zone: ZoneReport): String =
+        "  zone ${zone.zone}: ${zone.state} for ${zone.forMs} ms (${zone.why}), " +
+            "penalty %.2f, %.0f%% admitted".format(Locale.ROOT, zone.penalty, zone.admittedShare * PERCENT)
 
     private fun standby(report: StandbyReport): String =
         if (report.role == StandbyReport.LEADER) {
@@ -37,4 +46,6 @@
             "follows term ${report.term}, sequence ${report.sequence}, ${report.recordsHeld} records held, " +
                 "${report.recordsBehind} records and $lag, ${report.replicasDropped} replicas dropped"
         }
+
+    private const val PERCENT = 100
 }
--- a/src/main/kotlin/ledgearch/config/OperatorLoader.kt
+++ b/src/main/kotlin/ledgearch/config/OperatorLoader.kt
@@ -20,7 +20,9 @@
                 }
             throw SettingsException("$path: $problems")
         }
-        return json.decodeFromJsonElement(OperatorSettings.serializer(), element)
+        val settings = json.decodeFromJsonElement(OperatorSettings.serializer(), element)
+        RecoveryOrderCheck.problem(settings.zoneRecovery.order)?.let { throw SettingsException("$path: $it") }
+        return settings
     }
 
     private fun schema(): JsonSchema {
--- a/src/main/kotlin/ledgearch/config/OperatorSettings.kt
+++ b/src/main/kotlin/ledgearch/config/OperatorSettings.kt
@@ -18,6 +18,7 @@
     /** Seconds after which users who are turned away are told to come back. */
     val retryAfterS: Int = Tuning.RETRY_AFTER_S,
     val standby: StandbySettings = StandbySettings(),
+    val zoneRecovery: ZoneRecoverySettings = ZoneRecoverySettings(),
 )
 
 /** Following the leader's decisions, to be quicker when it is to be replaced. */
@@ -26,3 +27,23 @@
     /** This node streams its state to followers while it leads, and keeps a replica while it does not. */
     val enabled: Boolean = false,
 )
+
+/** How work is placed again when a zone is lost, and how the zone is used again when it returns. */
+@Serializable
+data class ZoneRecoverySettings(
+    val enabled: Boolean = false,
+    /** Groups of displaced work, the first to be placed again first. Empty: in the order of serving. */
+    val order: List<RecoveryGroup> = emptyList(),
+)
+
+/** Jobs whose class matches one of [classes] and whose team matches one of [teams]; an empty list matches all. */
+@Serializable
+data class RecoveryGroup(
+    /** What logs and metrics call it. */
+    val name: String? = null,
+    /** Names of classes, in which `*` stands for any characters. */
+    val classes: List<String> = emptyList(),
+    val teams: List<String> = emptyList(),
+    /** What no other group matches belongs here; without such a group it comes last. */
+    val default: Boolean = false,
+)
--- a/src/main/kotlin/ledgearch/core/Controller.kt
+++ b/src/main/kotlin/ledgearch/core/Controller.kt
@@ -14,6 +14,7 @@
 import ledgearch.mesh.LeaderStatus
 import ledgearch.mesh.Mesh
 import ledgearch.mesh.Progress
+import ledgearch.recovery.ZoneRecovery
 import ledgearch.standby.LeaderImage
 import ledgearch.standby.StandbyEvent
 import ledgearch.standby.WarmStandby
@@ -200,12 +201,14 @@
                 if (!all && p == job.shown) null else p.also { job.shown = it }
             }
         // Empty frames too: they show that this node lives.
-        mesh.publish(LeaderStatus(news, served = now.steady - state.lastAnswer < Tuning.LEADER_UNSERVED_MS))
+        val served = now.steady - state.lastAnswer < Tuning.LEADER_UNSERVED_MS
+        mesh.publish(LeaderStatus(news, served, leader.recovery?.statuses().orEmpty()))
     }
 
     private fun heard(news: LeaderStatus) {
         news.progress.forEach { jobStore.jobs[it.job]?.shown = it }
         if (news.served == false) leaderUnservedAt = now.steady
+        if (!election.holding) leader.recovery?.heard(news.zones)
     }
 
     private fun serve(
@@ -258,6 +261,7 @@
                 it.placements.size
             },
             standby?.report(election.holding),
+            if (election.holding) leader.recovery?.report() else null,
         )
 
     /** The more current replica has a head start; the longest wait is the same with and without it. */
@@ -303,6 +307,9 @@
     /** ms from this leader's grant until every recorded machine was confirmed; null before, and on other nodes. */
     val takeoverMs: Long? get() = leader.takeoverMs
 
+    /** Null unless the operators have switched it on. */
+    val zoneRecovery: ZoneRecovery? get() = leader.recovery
+
     /** Whether the counts kept of machines and teams are those of a recount. */
     fun countsHold() = !election.holding || leader.countsHold()
 
--- a/src/main/kotlin/ledgearch/core/FailureDetector.kt
+++ b/src/main/kotlin/ledgearch/core/FailureDetector.kt
@@ -5,6 +5,7 @@
 import ledgearch.core.placement.Reliability
 import ledgearch.fleet.Fleet
 import ledgearch.leader.Election
+import ledgearch.recovery.ZoneRecovery
 import org.slf4j.LoggerFactory
 
 /** Which machines are lost, by what is not heard from them and by what does not reach them. */
@@ -17,6 +18,7 @@
     private val reliability: Reliability,
     private val now: Now,
     private val stalls: StallCompensation,
+    private val recovery: ZoneRecovery?,
     /** The zones of the controllers that held the block of late. */
     private val areasBefore: () -> Set<String>,
     private val sessionEnded: (Machine) -> Unit,
@@ -37,7 +39,7 @@
 
     val anyCutOff get() = !partitionedZones.isEmpty
 
-    fun isCutOff(hall: String) = hall in partitionedZones
+    fun isCutOff(zone: String) = zone in partitionedZones
 
     fun drive() {
         if (now.steady < watchAt) return
@@ -45,18 +47,10 @@
         overdue.look()
         cut.look()
         lost.look()
-        val back =
-            partitionedZones.update(machines.values) {
-                if (it.inherited &&
-                    !it.confirmed
-                ) {
-                    false
-                } else {
-                    !silentFor(it, cut)
-                }
-            }
+        val back = partitionedZones.update(machines.values, ::isHeard)
+        recovery?.look(machines.values, partitionedZones::contains, ::isHeard)
         for (m in machines.values) m.overdue = silentFor(m, overdue)
-        if (back.isNotEmpty()) machines.values.filter { it.hall in back }.forEach(::startAnew)
+        if (back.isNotEmpty()) machines.values.filter { it.zone in back }.forEach(::startAnew)
         for (m in missingMachines.among(machines.values.filter { it.inherited && !mayComeBack(it) })) {
             log.warn("machine {} of the block answers no probe; it is released", m.name)
             release(m)
@@ -65,6 +59,8 @@
         watch()
     }
 
+    private fun isHeard(m: Machine) = (m.confirmed || !m.inherited) && !silentFor(m, cut)
+
     /**
      * The zone of [m] is heard again: what went unanswered before says nothing, but [m] itself is still to be heard.
      */
@@ -76,6 +72,7 @@
 
     private fun release(m: Machine) {
         reliability.lost(m, now.steady)
+        recovery?.machineFailed(m)
         fleet.release(m)
     }
 
@@ -106,7 +103,7 @@
     private fun silentFor(
         m: Machine,
         silence: Silence,
-    ) = maxOf(m.reportedAt, election.grantedAt, partitionedZones.backAt(m.hall)) <= silence.since
+    ) = maxOf(m.reportedAt, election.grantedAt, partitionedZones.backAt(m.zone)) <= silence.since
 
     /** So many intervals without a report. [since] (steady ms) is worked out once a look, not for each machine. */
     private inner class Silence(
@@ -175,7 +172,7 @@
     ): Boolean {
         if (m.releasing || !m.confirmed || m.probesFailed < Tuning.PROBES) return false
         val due = m.heardAt + (reportMs * Tuning.DUE_REPORTS).toLong()
-        return heard.since(due) > heard.size * Tuning.MOST && heard.inZoneSince(m.hall, due)
+        return heard.since(due) > heard.size * Tuning.MOST && heard.inZoneSince(m.zone, due)
     }
 
     /** When [machines] were last heard, ordered once: hundreds that are silent each ask how many others are not. */
@@ -184,7 +181,7 @@
     ) {
         private val times = machines.map { it.heardAt }.sorted()
         private val lastInZone =
-            machines.groupingBy { it.hall }.fold(
+            machines.groupingBy { it.zone }.fold(
                 Long.MIN_VALUE,
             ) { last, m -> maxOf(last, m.heardAt) }
         val size get() = times.size
@@ -192,9 +189,9 @@
         fun since(due: Long) = times.size - times.binarySearch { if (it > due) 1 else -1 }.inv()
 
         fun inZoneSince(
-            hall: String,
+            zone: String,
             due: Long,
-        ) = (lastInZone[hall] ?: Long.MIN_VALUE) > due
+        ) = (lastInZone[zone] ?: Long.MIN_VALUE) > due
     }
 
     /**
--- a/src/main/kotlin/ledgearch/core/Job.kt
+++ b/src/main/kotlin/ledgearch/core/Job.kt
@@ -93,11 +93,11 @@
     /** Its tasks may run on machines of this type, zone and kind. */
     fun allows(
         rack: Rack,
-        hall: String,
+        zone: String,
         borrowed: Boolean,
     ): Boolean {
         val spec = spec
-        return (spec.racks == null || rack.label in spec.racks) && (spec.hall == null || spec.hall == hall) &&
+        return (spec.racks == null || rack.label in spec.racks) && (spec.zone == null || spec.zone == zone) &&
             (spec.borrowed || !borrowed)
     }
 
--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -4,6 +4,7 @@
 import ledgearch.config.Settings
 import ledgearch.core.placement.Deadlines
 import ledgearch.core.placement.Estimates
+import ledgearch.core.placement.NoRecovery
 import ledgearch.core.placement.Placer
 import ledgearch.core.placement.Preemption
 import ledgearch.core.placement.Ranking
@@ -11,6 +12,7 @@
 import ledgearch.fleet.Fleet
 import ledgearch.fleet.Reserve
 import ledgearch.leader.Election
+import ledgearch.recovery.ZoneRecovery
 import ledgearch.standby.TakeoverHints
 import ledgearch.state.StateClient
 import ledgearch.wire.CheckIn
@@ -43,6 +45,9 @@
     val reserve = Reserve(settings, now)
     private val deadlines =
         Deadlines(settings.deployment.objectives, estimates, now, jobStore.dependencies::dependentsOf)
+
+    /** Null unless the operators have switched it on. */
+    val recovery: ZoneRecovery? = zoneRecovery(settings, now)
     private val ranking = Ranking(settings.deployment.objectives, estimates, now, deadlines)
     val reliability = Reliability(estimates, ranking)
     private val placer =
@@ -51,8 +56,9 @@
             teams,
             now,
             ranking,
-            Preemption(teams, ranking, now, ::preempt),
+            Preemption(teams, ranking, now, recovery ?: NoRecovery, ::preempt),
             reliability,
+            recovery ?: NoRecovery,
             estimates,
             metrics,
             ::start,
@@ -80,6 +86,7 @@
             reliability,
             now,
             stalls,
+            recovery,
             ::areasBefore,
         ) {
             newSession(
@@ -93,7 +100,9 @@
     private var attemptSeq = 0L
     private val takeover = Takeover(state, jobStore, recordWriter, teams, now, ::joinFromRecord)
     private val tasks =
-        TaskStatusHandler(jobStore, machines, estimates, recordWriter, metrics, now, dispatcher::want, ::changed)
+        TaskStatusHandler(jobStore, machines, estimates, recordWriter, metrics, now, dispatcher::want, ::changed) {
+            recovery?.lost(it)
+        }
     val replicas = Replicas(now, placer::usable) { stop(it) }
 
     /** What a replica of the replaced leader's state suggests; it proves nothing. */
@@ -133,6 +142,7 @@
         }
         guaranteesDirty = true
         takeover.begin()
+        recovery?.begin()
         state.share(leader = true)
     }
 
@@ -151,6 +161,7 @@
         teams.clear()
         takeover.clear()
         recordWriter.clear()
+        recovery?.end()
         for (job in jobStore.jobs.values) job.forgetLeaderState()
         fleet.end()
         state.share(leader = false)
@@ -329,7 +340,7 @@
     private fun adopt(report: CheckIn): Machine? {
         val rack = jobStore.racks[report.rack] ?: return null
         if (fleet.isReturned(report.stove)) return null
-        val m = Machine(report.stove, report.endpoint, rack, report.hall, report.borrowed, now.steady, teams)
+        val m = Machine(report.stove, report.endpoint, rack, report.zone, report.borrowed, now.steady, teams)
         m.answeredAt = now.steady
         metrics.count("machine.joined")
         join(m)
@@ -338,7 +349,7 @@
             "machine {} ({}, {}{}) joins the block",
             m.name,
             m.rack.label,
-            m.hall,
+            m.zone,
             if (m.borrowed) ", spot" else "",
         )
         return m
@@ -477,11 +488,11 @@
         return settings.members.filter { it.node in leaders }.mapTo(HashSet()) { it.area }
     }
 
-    /** Next to nothing is heard from some zone. */
-    val anyCutOff get() = failureDetector.anyCutOff
+    /** Next to nothing is heard from some zone, or one is not yet back as it was. */
+    val anyZoneUnsettled get() = failureDetector.anyCutOff || recovery?.anyUnsettled == true
 
     /** Next to nothing is heard from this zone. */
-    fun isCutOff(hall: String) = failureDetector.isCutOff(hall)
+    fun isCutOff(zone: String) = failureDetector.isCutOff(zone) || recovery?.isLost(zone) == true
 
     fun drive() {
         if (term == 0L || !election.holding) return
@@ -538,6 +549,7 @@
         allConfirmedLogged = true
         takeoverMs = now.steady - election.grantedAt
         jobStore.jobs.values.forEach { it.trusted = true }
+        recovery?.confirmed(jobStore.jobs.values.filter { it.stamp <= term })
         dirty = true
         log.info("block 0: every recorded machine is confirmed, {} ms after the grant", takeoverMs)
     }
@@ -578,3 +590,15 @@
                     job.runningCount == job.placements.values.count { it.status == TaskStatus.RUNNING }
             }
 }
+
+/** A worker that goes on reports within so many intervals: a new leader then knows which zones are cut off. */
+private fun zoneRecovery(
+    settings: Settings,
+    now: Now,
+): ZoneRecovery? {
+    if (!settings.operator.zoneRecovery.enabled) return null
+    val detectionMs = settings.deployment.workers.reportS * MS_PER_S * Tuning.LOST_REPORTS
+    return ZoneRecovery(settings.operator.zoneRecovery, now, detectionMs.toLong())
+}
+
+private const val MS_PER_S = 1000.0
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -10,7 +10,7 @@
     val name: String,
     val endpoint: String,
     val rack: Rack,
-    val hall: String,
+    val zone: String,
     val borrowed: Boolean,
     val knownSince: Long,
     private val teams: Teams,
@@ -92,6 +92,9 @@
     /** A replica of the last leader's state says that the machine was being returned. */
     var returningHint = false
 
+    /** Its zone returns step by step, and its turn has not come: new work goes there only if it can't wait. */
+    var heldBack = false
+
     /** Nothing new is started: to be emptied and returned. */
     var draining = false
 
@@ -199,7 +202,7 @@
     ): Int = room.count(job, most)
 
     /** Type, zone and kind allow tasks of [job]. */
-    fun allows(job: Job): Boolean = job.allows(rack, hall, borrowed)
+    fun allows(job: Job): Boolean = job.allows(rack, zone, borrowed)
 
     /** Images whose fetch is known to be over: a task that needs one has run here. */
     val fetched = HashSet<String>()
--- a/src/main/kotlin/ledgearch/core/MachineRecords.kt
+++ b/src/main/kotlin/ledgearch/core/MachineRecords.kt
@@ -102,7 +102,7 @@
                 entry.name,
                 entry.endpoint,
                 record.racks[entry.rack],
-                entry.hall,
+                entry.zone,
                 entry.borrowed,
                 nowMs,
                 teams,
@@ -211,7 +211,7 @@
         m: Machine,
         rack: Int,
         quarantined: Boolean,
-    ) = MachineEntry(m.name, m.endpoint, rack, m.hall, m.borrowed, quarantined)
+    ) = MachineEntry(m.name, m.endpoint, rack, m.zone, m.borrowed, quarantined)
 
     /**
      * [machines] in order, in as few pieces as records have room for; each has room for every one to be quarantined.
--- a/src/main/kotlin/ledgearch/core/Metrics.kt
+++ b/src/main/kotlin/ledgearch/core/Metrics.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import ledgearch.Tuning
+import ledgearch.recovery.RecoveryReport
 import ledgearch.standby.StandbyReport
 import org.HdrHistogram.IntCountsHistogram
 
@@ -80,6 +81,7 @@
         machines: Int,
         tasks: Int,
         standby: StandbyReport? = null,
+        recovery: RecoveryReport? = null,
     ) = MetricsReport(
         node,
         token,
@@ -90,6 +92,7 @@
         counters.toSortedMap(),
         latencies.toSortedMap().mapValues { (_, h) -> summary(h) },
         standby,
+        recovery,
     )
 
     private fun summary(h: IntCountsHistogram) =
@@ -127,6 +130,7 @@
     val counters: Map<String, Long>,
     @SerialName("latency_ms") val latencyMs: Map<String, Summary>,
     val standby: StandbyReport? = null,
+    val recovery: RecoveryReport? = null,
 )
 
 /**
--- a/src/main/kotlin/ledgearch/core/PartitionedZones.kt
+++ b/src/main/kotlin/ledgearch/core/PartitionedZones.kt
@@ -33,14 +33,14 @@
     }
 
     /**
-     * Steady ms at which [hall] was last heard again: silence counts from then on, as after any trouble of this node's
+     * Steady ms at which [zone] was last heard again: silence counts from then on, as after any trouble of this node's
      * own.
      */
-    fun backAt(hall: String) = backAt[hall] ?: Long.MIN_VALUE / 2
+    fun backAt(zone: String) = backAt[zone] ?: Long.MIN_VALUE / 2
 
     val isEmpty get() = since.isEmpty()
 
-    operator fun contains(hall: String) = hall in since
+    operator fun contains(zone: String) = zone in since
 
     /** Returns the zones that are heard again. */
     fun update(
@@ -50,9 +50,9 @@
         val zones = HashMap<String, ZoneCounts>()
         for (m in machines) {
             if (m.releasing) continue
-            val zone = zones.getOrPut(m.hall) { ZoneCounts() }
-            zone.machines++
-            if (isHeard(m)) zone.heard++
+            val counts = zones.getOrPut(m.zone) { ZoneCounts() }
+            counts.machines++
+            if (isHeard(m)) counts.heard++
         }
         val anyWell = zones.values.any { it.heard > it.machines * Tuning.MOST }
         val cut =
@@ -60,18 +60,18 @@
                 anyWell && it.machines >= Tuning.ZONE_MACHINES &&
                     it.heard < it.machines * Tuning.HEARD_SHARE
             }
-        val back = since.filterTo(HashMap()) { (hall, began) -> isBack(zones[hall], began) }.keys
-        for (hall in back) {
-            log.info("zone {} is heard again, or gone", hall)
-            since.remove(hall)
-            kept.removeIf { it.hall == hall }
-            backAt[hall] = now.steady
+        val back = since.filterTo(HashMap()) { (zone, began) -> isBack(zones[zone], began) }.keys
+        for (zone in back) {
+            log.info("zone {} is heard again, or gone", zone)
+            since.remove(zone)
+            kept.removeIf { it.zone == zone }
+            backAt[zone] = now.steady
         }
-        for ((hall, zone) in cut) {
-            if (since.putIfAbsent(hall, now.steady) ==
+        for ((name, counts) in cut) {
+            if (since.putIfAbsent(name, now.steady) ==
                 null
             ) {
-                log.warn("zone {}: {} of {} machines are heard", hall, zone.heard, zone.machines)
+                log.warn("zone {}: {} of {} machines are heard", name, counts.heard, counts.machines)
             }
         }
         others = zones.keys.count { it !in since }
@@ -80,16 +80,16 @@
 
     /** Something of the zone is heard, or too little of it is left to tell for how long it will be cut off. */
     private fun isBack(
-        zone: ZoneCounts?,
+        counts: ZoneCounts?,
         began: Long,
     ) = when {
-        zone == null || (zone.machines < Tuning.ZONE_MACHINES && zone.heard == 0) -> {
+        counts == null || (counts.machines < Tuning.ZONE_MACHINES && counts.heard == 0) -> {
             now.steady - began >=
                 Tuning.CUT_ZONE_MS
         }
 
         else -> {
-            zone.heard >= zone.machines * Tuning.HEARD_SHARE
+            counts.heard >= counts.machines * Tuning.HEARD_SHARE
         }
     }
 
@@ -107,8 +107,8 @@
         m: Machine,
         servedWithin: Set<String>,
     ): Boolean {
-        if (others >= 2 || now.steady - (since[m.hall] ?: return false) >= Tuning.CUT_ZONE_MS) return false
-        if (!m.confirmed) return m.hall in servedWithin
+        if (others >= 2 || now.steady - (since[m.zone] ?: return false) >= Tuning.CUT_ZONE_MS) return false
+        if (!m.confirmed) return m.zone in servedWithin
         return m in kept || holdsTwoZoneReplica(m).also { if (it) kept.add(m) }
     }
 
--- a/src/main/kotlin/ledgearch/core/Records.kt
+++ b/src/main/kotlin/ledgearch/core/Records.kt
@@ -106,13 +106,13 @@
 internal data class SingleMachineRecord(
     val endpoint: String,
     val rack: Rack,
-    val hall: String,
+    @SerialName("hall") val zone: String,
     val borrowed: Boolean,
     @SerialName("aside")
     val quarantined: Boolean = false,
 ) {
     fun asOneOf(name: String) =
-        MachinesRecord(0, listOf(rack), listOf(MachineEntry(name, endpoint, 0, hall, borrowed, quarantined)))
+        MachinesRecord(0, listOf(rack), listOf(MachineEntry(name, endpoint, 0, zone, borrowed, quarantined)))
 }
 
 /**
@@ -124,7 +124,7 @@
     val name: String,
     val endpoint: String,
     val rack: Int,
-    val hall: String,
+    @SerialName("hall") val zone: String,
     val borrowed: Boolean,
     @SerialName("aside")
     val quarantined: Boolean = false,
--- a/src/main/kotlin/ledgearch/core/Replicas.kt
+++ b/src/main/kotlin/ledgearch/core/Replicas.kt
@@ -29,7 +29,7 @@
             val anywhere = !job.spec.apart && !job.spec.samePlace
             val target =
                 rooms.entries.firstOrNull { (to, room) ->
-                    settled && (anywhere || to.hall == m.hall) && to.allows(job) &&
+                    settled && (anywhere || to.zone == m.zone) && to.allows(job) &&
                         to.imageDistance(job.spec.recipe) == 0 &&
                         room.fits(job)
                 }
--- a/src/main/kotlin/ledgearch/core/TaskStatusHandler.kt
+++ b/src/main/kotlin/ledgearch/core/TaskStatusHandler.kt
@@ -18,6 +18,8 @@
     private val now: Now,
     private val want: (Machine) -> Unit,
     private val changed: () -> Unit,
+    /** An attempt is gone with its machine or its session, not by its own end. */
+    private val lost: (Placement) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.core")
 
@@ -188,6 +190,7 @@
         if (!p.exited) {
             metrics.count("task.lost")
             log.debug("{} try {} is gone from {}", p.task, p.attempt, p.machine.name)
+            if (p.stop == Stop.NONE) lost(p)
         }
         p.machine.detach(p)
         p.job?.free(p)
--- a/src/main/kotlin/ledgearch/core/Zones.kt
+++ b/src/main/kotlin/ledgearch/core/Zones.kt
@@ -10,26 +10,26 @@
     private val tasks = HashMap<String, Int>()
 
     init {
-        if (job.spec.apart || job.spec.samePlace) for (p in job.placements.values) add(p.machine.hall)
+        if (job.spec.apart || job.spec.samePlace) for (p in job.placements.values) add(p.machine.zone)
     }
 
     fun add(
-        hall: String,
+        zone: String,
         count: Int = 1,
     ) {
-        if (count > 0) tasks.merge(hall, count, Int::plus)
+        if (count > 0) tasks.merge(zone, count, Int::plus)
     }
 
-    /** How many more tasks [hall] may have, at most [most]. */
+    /** How many more tasks [zone] may have, at most [most]. */
     fun room(
-        hall: String,
+        zone: String,
         most: Int,
     ): Int =
         when {
-            job.spec.samePlace && tasks.keys.any { it != hall } -> 0
-            job.spec.apart -> minOf(most, (job.spec.portions + 1) / 2 - (tasks[hall] ?: 0)).coerceAtLeast(0)
+            job.spec.samePlace && tasks.keys.any { it != zone } -> 0
+            job.spec.apart -> minOf(most, (job.spec.portions + 1) / 2 - (tasks[zone] ?: 0)).coerceAtLeast(0)
             else -> most
         }
 
-    fun allows(hall: String) = room(hall, 1) > 0
+    fun allows(zone: String) = room(zone, 1) > 0
 }
--- a/src/main/kotlin/ledgearch/core/placement/Candidates.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Candidates.kt
@@ -29,7 +29,7 @@
     }
 
     private class Zone(
-        val hall: String,
+        val name: String,
     ) {
         val choices = PriorityQueue(COMPARATOR)
         var replicas = 0
@@ -41,14 +41,14 @@
 
     init {
         machines.forEachIndexed { order, m -> add(Choice(m, order)) }
-        if (job.standing) for (p in job.placements.values) zone(p.machine.hall).replicas++
+        if (job.standing) for (p in job.placements.values) zone(p.machine.zone).replicas++
     }
 
-    private fun zone(hall: String) = zones.firstOrNull { it.hall == hall } ?: Zone(hall).also { zones.add(it) }
+    private fun zone(zone: String) = zones.firstOrNull { it.name == zone } ?: Zone(zone).also { zones.add(it) }
 
     private fun add(choice: Choice) {
         rate(choice)
-        zone(choice.machine.hall).choices.add(choice)
+        zone(choice.machine.zone).choices.add(choice)
     }
 
     /** The machine for the next task, which [start] places there; false when there is none. */
@@ -66,7 +66,7 @@
         var best: Zone? = null
         for (zone in zones) {
             val top = zone.choices.peek() ?: continue
-            if (!allowed.allows(zone.hall)) continue
+            if (!allowed.allows(zone.name)) continue
             val other = best
             if (other == null || zone.replicas < other.replicas ||
                 (zone.replicas == other.replicas && COMPARATOR.compare(top, other.choices.peek()) < 0)
@@ -78,7 +78,7 @@
     }
 
     fun putBack(choice: Choice) {
-        if (job.standing) zone(choice.machine.hall).replicas++
+        if (job.standing) zone(choice.machine.zone).replicas++
         if (choice.machine.hasRoom(job)) add(choice)
     }
 
--- a/src/main/kotlin/ledgearch/core/placement/Estimates.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Estimates.kt
@@ -72,7 +72,7 @@
         val freed = HashMap<String, Double>()
         for (m in machines) {
             for (p in m.placements.values) {
-                if (p.status == TaskStatus.RUNNING) p.job?.let { freed.merge(m.hall, freedASecond(it), Double::plus) }
+                if (p.status == TaskStatus.RUNNING) p.job?.let { freed.merge(m.zone, freedASecond(it), Double::plus) }
             }
         }
         return freed
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -20,6 +20,7 @@
     private val ranking: Ranking,
     private val preemption: Preemption,
     private val reliability: Reliability,
+    private val recovery: RecoveryPolicy,
     private val estimates: Estimates,
     private val metrics: Metrics,
     private val start: (Job, Int, Machine) -> Unit,
@@ -63,6 +64,7 @@
 
     fun pass(jobs: Collection<Job>) {
         val open = jobs.filter { it.startable(now.steady) }
+        recovery.look(open)
         if (open.isEmpty()) return
         val all = machines.values.filter { usable(it) }
         unplaceable.clear()
@@ -70,8 +72,13 @@
         val usable = withoutReserved(serveStarved(open, all), all)
         val running = jobs.filter { it.placements.isNotEmpty() }
         val waiting = ArrayList<Job>()
-        for ((_, sameUrgency) in open.groupBy { it.urgency }.toSortedMap()) {
-            val ordered = ranking.order(sameUrgency)
+        val levels =
+            open
+                .groupBy { it.urgency }
+                .toSortedMap()
+                .values
+                .map(ranking::order)
+        for (ordered in recovery.arrange(levels)) {
             for (job in ordered) {
                 if (ranking.hurried(job)) {
                     startIn(
@@ -85,10 +92,11 @@
                 }
             }
             startHurried(ordered.filter { it.pendingCount > 0 && ranking.hurried(it) }, usable, running)
-            ordered.filterTo(waiting) { it.pendingCount > 0 }
+            ordered.filterTo(waiting) { it.pendingCount > 0 && recovery.mayStart(it) }
         }
         if (waiting.isEmpty()) return
-        metrics.spend("preemption") { preemption.pass(waiting, usable, running, estimates.freedASecond(jobs)) }
+        val admitting = if (recovery.isActive) usable.filter { !it.heldBack } else usable
+        metrics.spend("preemption") { preemption.pass(waiting, admitting, running, estimates.freedASecond(jobs)) }
         metrics.spend("queues") { bindWaiting(waiting, usable) }
     }
 
@@ -139,7 +147,7 @@
         val zones = Zones(job)
         val m =
             free
-                .filter { it.allows(job) && zones.allows(it.hall) && it.couldTake(job) }
+                .filter { it.allows(job) && zones.allows(it.zone) && it.couldTake(job) }
                 .minByOrNull { it.usedCpus } ?: return null
         reservations[job] = Reservation(m, now.steady + Tuning.RESERVATION_MS)
         return m
@@ -170,9 +178,10 @@
         usable: List<Machine>,
         leave: Int = 0,
     ) {
-        if (unplaceable.covers(job)) return
+        val special = recovery.isSpecial(job)
+        if (!special && unplaceable.covers(job)) return
         val roomLeft = startIn(job, usable, leave)
-        if (!roomLeft) unplaceable.add(job)
+        if (!roomLeft && !special) unplaceable.add(job)
     }
 
     /** Starts what there is room for in [places], but for the last [leave] tasks; false when no room is left there. */
@@ -182,15 +191,17 @@
         leave: Int = 0,
     ): Boolean {
         if (job.pendingCount <= leave || !teams.allows(job)) return true
-        val candidates = Candidates(job, places.filter { it.hasRoom(job) && it.allows(job) }, rating(job))
+        val fitting = places.filter { it.hasRoom(job) && it.allows(job) && recovery.admits(it, job) }
+        val candidates = Candidates(job, fitting, rating(job))
         val zones = Zones(job)
-        while (job.pendingCount > leave && teams.allows(job)) {
+        while (job.pendingCount > leave && teams.allows(job) && recovery.mayStart(job)) {
             val index = job.nextPending() ?: break
             val found =
                 candidates.next(zones) { m ->
                     leaveQueue(job, m)
                     start(job, index, m)
-                    zones.add(m.hall)
+                    recovery.started(job, index)
+                    zones.add(m.zone)
                 }
             if (!found) break
         }
@@ -250,7 +261,7 @@
             if (open == 0) return
             if (job.pendingCount <= (bound[job]?.size ?: 0)) continue
             val spec = job.spec
-            val places = listOf(spec.racks, spec.hall, spec.borrowed)
+            val places = listOf(spec.racks, spec.zone, spec.borrowed)
             val anyZone = !spec.apart && !spec.samePlace
             if (places in full) continue
             open -= bindRest(job, usable, preferred)
@@ -265,7 +276,7 @@
         preferred: PreferredLists,
     ): Int {
         val zones = Zones(job)
-        val fitting = usable.filter { it.allows(job) && zones.allows(it.hall) }
+        val fitting = usable.filter { it.allows(job) && zones.allows(it.zone) && recovery.admits(it, job) }
         if (fitting.isEmpty()) return 0
         var rest = job.pendingCount - (bound[job]?.size ?: 0)
         var filled = 0
@@ -277,7 +288,7 @@
                 } else {
                     preferred.of(home).firstOrNull {
                         usable(it) && it.queue.band == Band.UNDERLOADED && it.allows(job) &&
-                            zones.allows(it.hall)
+                            zones.allows(it.zone)
                     }
                         ?: return filled
                 }
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -20,6 +20,7 @@
     private val teams: Teams,
     private val ranking: Ranking,
     private val now: Now,
+    private val recovery: RecoveryPolicy,
     private val stop: (Placement, Job) -> Unit,
 ) {
     /** A task that may be stopped, and what that costs: the same throughout a pass. */
@@ -56,7 +57,8 @@
             p,
             job,
             missed,
-            spent(p) + missed * Tuning.WORTH_AIM + (Urgencies.ORDER.size - 1 - job.urgency) * Tuning.WORTH_URGENCY,
+            spent(p) + missed * Tuning.WORTH_AIM + (Urgencies.ORDER.size - 1 - job.urgency) * Tuning.WORTH_URGENCY -
+                recovery.yieldsFor(job),
         )
     }
 
@@ -118,7 +120,7 @@
         // Tasks of each team that have got room here, in processors.
         val promised = HashMap<String, Double>()
         val unplaceable = HashMap<List<Any>, UnplaceableSizes>()
-        val halls = prospects.mapTo(HashSet()) { it.machine.hall }
+        val allZones = prospects.mapTo(HashSet()) { it.machine.zone }
         for (job in waiting) {
             val places = if (sparing) prospects.filter { it.machine.imageDistance(job.spec.recipe) == 0 } else prospects
             val zones = Zones(job)
@@ -135,7 +137,7 @@
                     unplaceable.getOrPut(
                         if (guaranteed) listOf(job.urgency, job.spec.crew) else listOf(job.urgency),
                     ) { UnplaceableSizes() }
-                val allowed = halls.filterTo(HashSet()) { zones.allows(it) }
+                val allowed = allZones.filterTo(HashSet()) { zones.allows(it) }
                 if (!sparing && tried.covers(job, allowed)) break
                 val yields = if (done < teams.roomOnceStopped(job)) null else yielding.next() ?: break
                 val h =
@@ -162,7 +164,7 @@
                 }
                 prospect.room.take(job)
                 h.putBack(prospect)
-                zones.add(prospect.machine.hall)
+                zones.add(prospect.machine.zone)
                 placed.merge(job, 1, Int::plus)
                 promised[job.spec.crew] = cpus + job.spec.vcpus
                 done++
@@ -196,7 +198,7 @@
     private fun mayYield(
         job: Job,
         other: Job,
-    ) = other.spec.crew == job.spec.crew && other.urgency > job.urgency &&
+    ) = other.spec.crew == job.spec.crew && other.urgency > job.urgency && !recovery.protects(other, job) &&
         other.spec.vcpus >= job.spec.vcpus && other.spec.accelerators >= job.spec.accelerators
 
     /**
@@ -231,7 +233,7 @@
         fun next(): Prospect? {
             while (true) {
                 val p = roomy.poll()?.second ?: break
-                if (p.room.fits(job) && zones.allows(p.machine.hall)) return p
+                if (p.room.fits(job) && zones.allows(p.machine.zone)) return p
             }
             val open =
                 offers ?: PriorityQueue<Offer>(compareBy { it.cost }).also { all ->
@@ -241,7 +243,7 @@
             while (true) {
                 val offer = open.poll() ?: return null
                 val prospect = offer.prospect
-                if (!zones.allows(prospect.machine.hall)) continue
+                if (!zones.allows(prospect.machine.zone)) continue
                 // Meanwhile others may have stopped, or a team have nothing more to spare.
                 val fresh = offer(prospect) ?: continue
                 if (fresh.cost > offer.cost) {
@@ -304,9 +306,11 @@
         job: Job,
         guaranteed: Boolean,
         victim: Job,
-    ): Boolean =
-        victim.urgency > job.urgency ||
+    ): Boolean {
+        if (recovery.protects(victim, job)) return false
+        return victim.urgency > job.urgency ||
             (guaranteed && victim.urgency == job.urgency && isSpareOfOtherTeam(job, victim))
+    }
 
     /** [victim] runs beyond the guarantee of another team than the one of [job], and that team can spare it. */
     private fun isSpareOfOtherTeam(
--- a/src/main/kotlin/ledgearch/core/placement/PreferredLists.kt
+++ b/src/main/kotlin/ledgearch/core/placement/PreferredLists.kt
@@ -19,7 +19,7 @@
     private val places = HashMap<Machine, Place>()
 
     init {
-        for (ring in machines.groupBy { it.hall }.values.map { list -> list.sortedBy { it.name } }) {
+        for (ring in machines.groupBy { it.zone }.values.map { list -> list.sortedBy { it.name } }) {
             ring.forEachIndexed { at, m -> places[m] = Place(ring, at) }
         }
     }
--- a/src/main/kotlin/ledgearch/core/placement/UnplaceableSizes.kt
+++ b/src/main/kotlin/ledgearch/core/placement/UnplaceableSizes.kt
@@ -6,32 +6,32 @@
 internal class UnplaceableSizes {
     private data class UnplaceableSize(
         val job: Job,
-        val halls: Set<String>?,
+        val zones: Set<String>?,
     )
 
     private val all = ArrayList<UnplaceableSize>()
 
     fun clear() = all.clear()
 
-    /** [job] found no room in [halls], or in any zone. */
+    /** [job] found no room in [zones], or in any zone. */
     fun add(
         job: Job,
-        halls: Set<String>? = null,
+        zones: Set<String>? = null,
     ) {
-        if (!covers(job, halls)) all.add(UnplaceableSize(job, halls))
+        if (!covers(job, zones)) all.add(UnplaceableSize(job, zones))
     }
 
     /** A job with no fewer places to go to, and tasks no larger, found no room. */
     fun covers(
         job: Job,
-        halls: Set<String>? = null,
+        zones: Set<String>? = null,
     ): Boolean =
         all.any { (other, tried) ->
             val a = other.spec
             val b = job.spec
             a.vcpus <= b.vcpus && a.memoryGb <= b.memoryGb && a.accelerators <= b.accelerators &&
-                (tried == null || (halls != null && tried.containsAll(halls))) &&
-                (a.borrowed || !b.borrowed) && (a.hall == null || a.hall == b.hall) &&
+                (tried == null || (zones != null && tried.containsAll(zones))) &&
+                (a.borrowed || !b.borrowed) && (a.zone == null || a.zone == b.zone) &&
                 (a.racks == null || a.racks == b.racks)
         }
 }
--- a/src/main/kotlin/ledgearch/fleet/Demand.kt
+++ b/src/main/kotlin/ledgearch/fleet/Demand.kt
@@ -10,25 +10,24 @@
 /** Room that is on its way: a rented machine that has not reported yet. */
 internal class Supply(
     private val rack: Rack,
-    private val hall: String,
+    private val zone: String,
     private val borrowed: Boolean,
+    private val room: Room = Room(rack),
 ) {
-    private val room = Room(rack)
-
     /** Takes as many of [tasks] of [job] as fit here and in its [zones]; returns how many. */
     fun take(
         job: Job,
         tasks: Int,
         zones: Zones,
     ): Int {
-        if (!job.allows(rack, hall, borrowed)) return 0
-        val most = zones.room(hall, tasks)
+        if (!job.allows(rack, zone, borrowed)) return 0
+        val most = zones.room(zone, tasks)
         var taken = 0
         while (taken < most && room.fits(job)) {
             room.take(job)
             taken++
         }
-        zones.add(hall, taken)
+        zones.add(zone, taken)
         return taken
     }
 }
@@ -43,11 +42,11 @@
 
     /** The one zone that its tasks may be in, or null where there are several. */
     val onlyZone: String? =
-        job.spec.hall ?: if (job.spec.samePlace) {
+        job.spec.zone ?: if (job.spec.samePlace) {
             job.placements.values
                 .firstOrNull()
                 ?.machine
-                ?.hall
+                ?.zone
         } else {
             null
         }
@@ -68,9 +67,9 @@
             now: Now,
         ): List<Demand> {
             val perTeam = HashMap<String, Double>()
-            return jobs
-                .filter { it.startable(now.steady) }
-                .sortedWith(compareBy({ it.urgency }, { it.readyAt }))
+            val waiting =
+                jobs.filter { it.startable(now.steady) }.sortedWith(compareBy({ it.urgency }, { it.readyAt }))
+            return (leader.recovery?.arrange(listOf(waiting))?.single() ?: waiting)
                 .mapNotNull { job ->
                     val taken = perTeam[job.spec.crew] ?: 0.0
                     val tasks = minOf(job.pendingCount, leader.teams.roomFor(job, taken))
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -37,7 +37,7 @@
 ) {
     private data class Pool(
         val rack: Rack,
-        val hall: String,
+        val zone: String,
         val borrowed: Boolean,
     ) {
         val price: Double get() = price(rack, borrowed)
@@ -114,7 +114,7 @@
     /** Machines that were rented and have not reported yet. */
     fun rentedNotReported(): List<RentalHint> =
         booting.map { (name, b) ->
-            RentalHint(name, b.pool.rack.label, b.pool.hall, b.pool.borrowed)
+            RentalHint(name, b.pool.rack.label, b.pool.zone, b.pool.borrowed)
         }
 
     /** The leader before may have rented this machine, which the cloud's list may not show yet. */
@@ -228,7 +228,7 @@
                         booting.remove(stove.ref)
                         toRelease.add(stove.ref)
                     } else {
-                        val pool = Pool(rack, stove.hall, stove.borrowed)
+                        val pool = Pool(rack, stove.zone, stove.borrowed)
                         expectBoot(leader, stove.ref, Booting(pool, now.steady - (stove.heldS * 1000).toLong()))
                     }
                 }
@@ -258,7 +258,7 @@
         stove: ListedStove,
     ) {
         val since = unheard.getOrPut(stove.ref) { now.steady }
-        if (stalls.heedfulSince(since) < Tuning.UNHEARD_MS || leader.isCutOff(stove.hall)) return
+        if (stalls.heedfulSince(since) < Tuning.UNHEARD_MS || leader.isCutOff(stove.zone)) return
         log.info("machine {} is up and does not report; it is returned", stove.ref)
         unheard.remove(stove.ref)
         booting.remove(stove.ref)
@@ -279,7 +279,7 @@
         ordinaryLoad.now(jobStore().jobs.values.sumOf { ordinaryCpus(leader, it) })
         val needs = Demand.of(jobStore().jobs.values, leader, now)
         // With a zone cut off, tasks that may run there wait for it unseen: what is up now will be needed.
-        if (needs.isEmpty() && !leader.anyCutOff) {
+        if (needs.isEmpty() && !leader.anyZoneUnsettled) {
             if (calmSince == 0L) calmSince = now.steady
         } else {
             calmSince = 0L
@@ -299,14 +299,16 @@
         if (now.steady < rentRetryAt) return
         val coming =
             booting.values
-                .filter { !leader.isCutOff(it.pool.hall) }
-                .map { Supply(it.pool.rack, it.pool.hall, it.pool.borrowed) }
+                .filter { !leader.isCutOff(it.pool.zone) }
+                .map { Supply(it.pool.rack, it.pool.zone, it.pool.borrowed) }
                 .toMutableList()
         val unlisted = hinted.notIn(booting.keys, leader.machines.keys)
         coming += unlisted.mapNotNull { hint -> jobStore().racks[hint.rack]?.let { Supply(it, hint.zone, hint.spot) } }
+        coming += heldBackRoom(leader)
         val planned = LinkedHashMap<Pool, Int>()
         val known = leader.machines.size + booting.size + unlisted.size
-        val mayRent = minOf(Tuning.RENT_AT_ONCE, settings.operator.maxMachines - known)
+        val atOnce = if (leader.recovery?.isActive == true) Tuning.RECOVERY_RENT_AT_ONCE else Tuning.RENT_AT_ONCE
+        val mayRent = minOf(atOnce, settings.operator.maxMachines - known)
         var freed = 0.0
         val churnIn by lazy(LazyThreadSafetyMode.NONE) { leader.estimates.freedASecondByZone(leader.machines.values) }
         for (need in needs) {
@@ -328,7 +330,7 @@
             }
             while (left > 0 && planned.values.sum() < mayRent) {
                 val pool = cheapest(leader, need, planned) ?: break
-                val supply = Supply(pool.rack, pool.hall, pool.borrowed)
+                val supply = Supply(pool.rack, pool.zone, pool.borrowed)
                 val taken = supply.take(need.job, left, need.zones)
                 if (taken == 0) break
                 left -= taken
@@ -354,31 +356,41 @@
         }
     }
 
+    /** Room of a returning zone that is to be admitted soon. */
+    private fun heldBackRoom(leader: Leader): List<Supply> =
+        leader.machines.values
+            .filter { it.heldBack && it.inService && leader.recovery?.isSuppressed(it.zone) == false }
+            .map { Supply(it.rack, it.zone, it.borrowed, it.roomLeft()) }
+
     /** Not in a zone that is cut off: what is rented there can't be reached, and no more than a probe machine is. */
     private fun cheapest(
         leader: Leader,
         need: Demand,
         planned: Map<Pool, Int>,
     ): Pool? {
-        val pools = pools(need.job).filter { need.zones.allows(it.hall) }
-        return pools
-            .filter { !leader.isCutOff(it.hall) }
-            .ifEmpty { pools.filter { mayRentProbeMachine(leader, it.hall, planned) } }
-            .filter { now.steady >= (exhausted[key(it)] ?: Long.MIN_VALUE) }
+        val pools = pools(need.job).filter { need.zones.allows(it.zone) }
+        val reached = pools.filter { !leader.isCutOff(it.zone) && leader.recovery?.isSuppressed(it.zone) != true }
+        // Where displaced work finds nothing more to rent, it is worth knowing when its zone is back.
+        val enough = if (leader.recovery?.isActive == true) reached.filter(::mayHaveCapacity) else reached
+        return enough
+            .ifEmpty { pools.filter { mayRentProbeMachine(leader, it.zone, planned) } }
+            .filter(::mayHaveCapacity)
             .minWithOrNull(
                 compareBy({ it.price }, { p ->
-                    booting.values.count { it.pool.hall == p.hall } +
+                    booting.values.count { it.pool.zone == p.zone } +
                         (planned[p] ?: 0)
                 }),
             )
     }
 
+    private fun mayHaveCapacity(pool: Pool) = now.steady >= (exhausted[key(pool)] ?: Long.MIN_VALUE)
+
     /** It is up in a zone that is cut off, and its first report will tell that the zone is back. */
     private fun isProbeMachine(
         leader: Leader,
         name: String,
         b: Booting,
-    ) = leader.isCutOff(b.pool.hall) && unheard[name].let { it != null && now.steady - it < Tuning.CUT_ZONE_MS }
+    ) = leader.isCutOff(b.pool.zone) && unheard[name].let { it != null && now.steady - it < Tuning.CUT_ZONE_MS }
 
     /**
      * No machine is left in the zone that would tell when it is heard again: one is rented, for work that can go
@@ -386,19 +398,19 @@
      */
     private fun mayRentProbeMachine(
         leader: Leader,
-        hall: String,
+        zone: String,
         planned: Map<Pool, Int>,
-    ) = booting.values.none { it.pool.hall == hall } && planned.keys.none { it.hall == hall } &&
-        renting.none { "/$hall/" in it } &&
-        leader.machines.values.none { it.hall == hall && !it.releasing }
+    ) = booting.values.none { it.pool.zone == zone } && planned.keys.none { it.zone == zone } &&
+        renting.none { "/$zone/" in it } &&
+        leader.machines.values.none { it.zone == zone && !it.releasing }
 
     private fun pools(job: Job): List<Pool> =
         jobStore()
             .racks.values
             .filter { Room(it).fits(job) }
-            .flatMap { rack -> rack.halls.flatMap { hall -> listOf(Pool(rack, hall, true), Pool(rack, hall, false)) } }
+            .flatMap { rack -> rack.zones.flatMap { zone -> listOf(Pool(rack, zone, true), Pool(rack, zone, false)) } }
             .filter { settings.operator.spot || !it.borrowed }
-            .filter { job.allows(it.rack, it.hall, it.borrowed) }
+            .filter { job.allows(it.rack, it.zone, it.borrowed) }
 
     /** [pool] costs this job much more than the cheapest machine that it may use. */
     private fun isDear(
@@ -409,7 +421,7 @@
         return pool != null && pool.price > least * Tuning.DEAR
     }
 
-    private fun key(p: Pool) = "${p.rack.label}/${p.hall}/${p.borrowed}"
+    private fun key(p: Pool) = "${p.rack.label}/${p.zone}/${p.borrowed}"
 
     private fun rent(
         leader: Leader,
@@ -422,7 +434,7 @@
         val body =
             WireJson.encodeToString(
                 RentRequest.serializer(),
-                RentRequest(booking, pool.rack.label, pool.hall, pool.borrowed, count),
+                RentRequest(booking, pool.rack.label, pool.zone, pool.borrowed, count),
             )
         call("POST", "/hosts", body) { reply ->
             renting.remove(key(pool))
@@ -437,7 +449,7 @@
                         names.size,
                         count,
                         pool.rack.label,
-                        pool.hall,
+                        pool.zone,
                         if (pool.borrowed) " (spot)" else "",
                     )
                     for (name in names) expectBoot(leader, name, Booting(pool, now.steady))
@@ -503,13 +515,13 @@
         val used = load.value
         val ordinary = active.sumOf { if (it.borrowed) 0.0 else it.rack.vcpus }
         val reserve = leader.reserve.cpus(churn, bootS())
-        val fixed = active.filter { !it.borrowed }.groupingBy { it.hall }.eachCount()
+        val fixed = active.filter { !it.borrowed }.groupingBy { it.zone }.eachCount()
         val m =
             active
                 .filter { c -> now.steady - c.knownSince > Tuning.KEEP_MS }
                 .filter { capacity - it.rack.vcpus >= used + reserve }
                 .filter { c -> c.borrowed || ordinary - c.rack.vcpus >= ordinaryLoad.value }
-                .filter { c -> c.borrowed || (fixed[c.hall] ?: 0) > 1 }
+                .filter { c -> c.borrowed || (fixed[c.zone] ?: 0) > 1 }
                 .sortedWith(compareBy({ -price(it.rack, it.borrowed) }, { it.usedCpus }))
                 .firstOrNull { leader.replicas.canMove(it, active) } ?: return false
         m.retiring = true
--- a/src/main/kotlin/ledgearch/http/EventLoop.kt
+++ b/src/main/kotlin/ledgearch/http/EventLoop.kt
@@ -26,6 +26,7 @@
 @OptIn(InternalCoroutinesApi::class, ExperimentalCoroutinesApi::class)
 internal class EventLoop(
     private val name: String,
+    private val nanos: () -> Long = System::nanoTime,
 ) : CoroutineDispatcher(),
     Delay {
     @Volatile
@@ -170,7 +171,7 @@
         runReady()
     }
 
-    private fun nowMs() = System.nanoTime() / NANOS_PER_MS
+    private fun nowMs() = nanos() / NANOS_PER_MS
 
     companion object {
         private const val NANOS_PER_MS = 1_000_000L
--- a/src/main/kotlin/ledgearch/intake/Submitted.kt
+++ b/src/main/kotlin/ledgearch/intake/Submitted.kt
@@ -39,7 +39,7 @@
                 accelerators = amount("accelerators"),
                 memoryGb = amount("memoryGb"),
                 racks = textsOrNull("racks"),
-                hall = textOrNull("hall"),
+                zone = textOrNull("hall"),
                 samePlace = flag("samePlace"),
                 apart = flag("apart"),
                 borrowed = flag("borrowed"),
--- a/src/main/kotlin/ledgearch/intake/Validation.kt
+++ b/src/main/kotlin/ledgearch/intake/Validation.kt
@@ -24,7 +24,7 @@
         val fits =
             racks.any { rack ->
                 (r.racks == null || rack.label in r.racks) &&
-                    (r.hall == null || r.hall in rack.halls) &&
+                    (r.zone == null || r.zone in rack.zones) &&
                     r.vcpus <= rack.vcpus && r.accelerators <= rack.accelerators && r.memoryGb <= rack.memoryGb
             }
         return if (fits) null else "fits no allowed rack"
--- a/src/main/kotlin/ledgearch/mesh/MeshLinks.kt
+++ b/src/main/kotlin/ledgearch/mesh/MeshLinks.kt
@@ -135,7 +135,7 @@
         if (followers.isEmpty()) return
         // Several frames where there are very many jobs: a frame has a size that it may not pass.
         for (part in news.progress.chunked(Tuning.JOBS_A_FRAME).ifEmpty { listOf(emptyList()) }) {
-            val frame = Frames.encode(LeaderStatus(part, news.served))
+            val frame = Frames.encode(LeaderStatus(part, news.served, news.zones))
             followers.values.forEach { it.queue.trySend(frame) }
         }
     }
--- /dev/null
+++ b/src/main/kotlin/ledgearch/recovery/ZoneHealth.kt
@@ -0,0 +1,141 @@
+package ledgearch.recovery
+
+import ledgearch.Tuning
+
+/** One zone's state machine: up, suspect, lost, returning, up. It decides on load only and proves nothing. */
+internal class ZoneHealth(
+    val zone: String,
+) {
+    private val penalty = FlapPenalty()
+    private val ramp = ReturnRamp()
+
+    var state = ZoneState.UP
+        private set
+
+    /** Why it is in this state, for people. */
+    var reason = "heard"
+        private set
+
+    /** Steady ms of the last change of state. */
+    var since = 0L
+        private set
+
+    /** Too many losses of late: nothing new goes there until the penalty has decayed. */
+    val isSuppressed: Boolean get() = state == ZoneState.RETURNING && penalty.isSuppressed
+
+    /** The share of its machines that may take new work. */
+    val admittedShare: Double
+        get() =
+            when {
+                state == ZoneState.LOST || isSuppressed -> 0.0
+                state != ZoneState.RETURNING -> 1.0
+                else -> ramp.share
+            }
+
+    fun penalty(nowMs: Long): Double = penalty.at(nowMs)
+
+    /** Returns whether the state changed. */
+    fun look(
+        seen: ZoneObservation,
+        nowMs: Long,
+    ): Boolean {
+        penalty.look(nowMs)
+        val before = state
+        when (state) {
+            ZoneState.UP, ZoneState.SUSPECT -> lookWhileServing(seen, nowMs)
+            ZoneState.LOST -> if (!seen.partitioned) beginReturn(nowMs)
+            ZoneState.RETURNING -> lookWhileReturning(seen, nowMs)
+        }
+        return state != before
+    }
+
+    private fun lookWhileServing(
+        seen: ZoneObservation,
+        nowMs: Long,
+    ) {
+        val heard = "${seen.heard} of ${seen.machines} machines heard"
+        when {
+            seen.partitioned -> {
+                lose(heard, nowMs)
+            }
+
+            state == ZoneState.UP && isFailing(seen) -> {
+                enter(ZoneState.SUSPECT, heard, nowMs)
+            }
+
+            // Recovers at a higher share than it became suspect at, so that it does not change to and fro.
+            state == ZoneState.SUSPECT && seen.heardShare >= Tuning.ZONE_WELL_SHARE -> {
+                enter(ZoneState.UP, heard, nowMs)
+            }
+        }
+    }
+
+    private fun isFailing(seen: ZoneObservation) =
+        seen.anyZoneWell && seen.machines >= Tuning.ZONE_MACHINES && seen.heardShare < Tuning.ZONE_SUSPECT_SHARE
+
+    private fun lookWhileReturning(
+        seen: ZoneObservation,
+        nowMs: Long,
+    ) {
+        when {
+            seen.partitioned || isSilent(seen) -> lose("lost again, none of ${seen.machines} machines heard", nowMs)
+            penalty.isSuppressed -> ramp.begin(nowMs)
+            ramp.isOver -> enter(ZoneState.UP, "all its machines are admitted", nowMs)
+            else -> ramp.look(nowMs)
+        }
+    }
+
+    /** Too few of its machines may be left for the detection of partitioned zones, but none of them is heard. */
+    private fun isSilent(seen: ZoneObservation) = seen.anyZoneWell && seen.machines > 0 && seen.heard == 0
+
+    private fun lose(
+        why: String,
+        nowMs: Long,
+    ) {
+        penalty.lost(nowMs)
+        enter(ZoneState.LOST, why, nowMs)
+    }
+
+    private fun beginReturn(nowMs: Long) {
+        ramp.begin(nowMs)
+        enter(
+            ZoneState.RETURNING,
+            if (penalty.isSuppressed) "held back, it was lost too often" else "heard again",
+            nowMs,
+        )
+    }
+
+    private fun enter(
+        next: ZoneState,
+        why: String,
+        nowMs: Long,
+    ) {
+        state = next
+        reason = why
+        since = nowMs
+    }
+
+    /** A machine of the zone failed; while it returns, that slows the ramp. */
+    fun machineFailed(nowMs: Long) {
+        if (state == ZoneState.RETURNING) ramp.failed(nowMs)
+    }
+
+    /** Goes on where the leader before was, by what it last told. */
+    fun restore(
+        known: ZoneStatus,
+        nowMs: Long,
+    ) {
+        penalty.restore(known.penalty, nowMs)
+        if (known.state == ZoneState.UP) return
+        ramp.beginAt(known.admittedShare, nowMs)
+        enter(known.state, "as the leader before told", nowMs)
+    }
+}
+
+/** What a leader tells the other controllers of one zone, so that the next leader goes on from there. */
+internal data class ZoneStatus(
+    val zone: String,
+    val state: ZoneState,
+    val penalty: Double,
+    val admittedShare: Double,
+)
--- a/src/main/kotlin/ledgearch/wire/Cloud.kt
+++ b/src/main/kotlin/ledgearch/wire/Cloud.kt
@@ -1,5 +1,6 @@
 package ledgearch.wire
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** A machine type of the cloud's catalog. */
@@ -14,7 +15,7 @@
     val hourly: Double = 0.0,
     val lowPrice: Double = 0.0,
     val startupS: Double = 30.0,
-    val halls: List<String> = emptyList(),
+    @SerialName("halls") val zones: List<String> = emptyList(),
 )
 
 @Serializable
@@ -26,7 +27,7 @@
 data class RentRequest(
     val booking: String,
     val rack: String,
-    val hall: String,
+    @SerialName("hall") val zone: String,
     val borrowed: Boolean,
     val howMany: Int,
 )
@@ -41,7 +42,7 @@
     val ref: String,
     val endpoint: String? = null,
     val rack: String,
-    val hall: String,
+    @SerialName("hall") val zone: String,
     val borrowed: Boolean = false,
     val status: String,
     val heldS: Double = 0.0,
--- a/src/main/kotlin/ledgearch/wire/Users.kt
+++ b/src/main/kotlin/ledgearch/wire/Users.kt
@@ -1,5 +1,6 @@
 package ledgearch.wire
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** What a user submits: one job of [portions] equal tasks. */
@@ -15,7 +16,7 @@
     val accelerators: Double = 0.0,
     val memoryGb: Double,
     val racks: List<String>? = null,
-    val hall: String? = null,
+    @SerialName("hall") val zone: String? = null,
     val samePlace: Boolean = false,
     val apart: Boolean = false,
     val borrowed: Boolean = false,
--- a/src/main/kotlin/ledgearch/wire/Workers.kt
+++ b/src/main/kotlin/ledgearch/wire/Workers.kt
@@ -20,7 +20,7 @@
     val stove: String,
     val endpoint: String,
     val rack: String,
-    val hall: String,
+    @SerialName("hall") val zone: String,
     val borrowed: Boolean = false,
     val shift: Long,
     val ticket: Long,
--- a/src/test/kotlin/ledgearch/EventLoopTest.kt
+++ b/src/test/kotlin/ledgearch/EventLoopTest.kt
@@ -20,11 +20,11 @@
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 
 /** Sockets, timers and the owner's turns share one thread: none of them keeps the others out. */
 internal class EventLoopTest {
     private val loop = EventLoop("test-loop")
-    private val scope = CoroutineScope(loop + SupervisorJob())
 
     @AfterEach
     fun end() {
@@ -56,27 +56,48 @@
         assertTrue(name.startsWith("test-loop"), name)
     }
 
+    /** The clock stands still: how long the machine takes to accept the callers is no matter here. */
     @Test
     fun `callers who wait are accepted and read before the next turn of the owner`() {
+        assertEquals(CALLERS, servedBeforeTurn { 0L })
+    }
+
+    /** With each look at the clock, more time passes than the sockets may take before a turn. */
+    @Test
+    fun `callers do not keep the owner's turn waiting for longer than they may`() {
+        val looks = AtomicLong()
+        val served = servedBeforeTurn { looks.incrementAndGet() * (Tuning.SOCKETS_MS + 1) * NANOS_PER_MS }
+        assertTrue(served < CALLERS, "$served callers were served first")
+    }
+
+    /** How many of [CALLERS] that wait are served before a turn of the owner, on a loop with this clock. */
+    private fun servedBeforeTurn(nanos: () -> Long): Int {
+        val clocked = EventLoop("test-clocked", nanos)
         val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
         var served = 0
-        HttpServer(scope, loop.group, 100) { Response(200, "{}").also { served++ } }.start("127.0.0.1:$port")
+        val server =
+            HttpServer(CoroutineScope(clocked + SupervisorJob()), clocked.group, 100) {
+                Response(200, "{}").also { served++ }
+            }
+        server.start("127.0.0.1:$port")
         val turn = CompletableFuture<Int>()
         val callers =
-            runBlocking(loop) {
+            runBlocking(clocked) {
                 // The loop is busy meanwhile, so all callers wait in the kernel's queue.
                 val waiting = List(CALLERS) { Socket(InetAddress.getLoopbackAddress(), port) }
                 waiting.forEach { it.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".toByteArray()) }
-                scope.launch(loop.afterSockets) { turn.complete(served) }
+                CoroutineScope(clocked).launch(clocked.afterSockets) { turn.complete(served) }
                 waiting
             }
-        assertEquals(CALLERS, turn.get(LIMIT_S, TimeUnit.SECONDS))
+        val result = turn.get(LIMIT_S, TimeUnit.SECONDS)
         callers.forEach { it.close() }
+        clocked.group.shutdownNow()
+        return result
     }
 
     private companion object {
-        /** Few enough to be accepted in the time that goes to the sockets before each turn. */
         const val CALLERS = 12
+        const val NANOS_PER_MS = 1_000_000L
         const val LIMIT_S = 20L
     }
 }
--- a/src/test/kotlin/ledgearch/MixedVersionsTest.kt
+++ b/src/test/kotlin/ledgearch/MixedVersionsTest.kt
@@ -198,7 +198,7 @@
                 accelerators = 2.0,
                 memoryGb = 6.25,
                 racks = listOf("large", "small"),
-                hall = "a",
+                zone = "a",
                 samePlace = true,
                 apart = true,
                 borrowed = true,
@@ -236,7 +236,7 @@
                 hourly = 1.5,
                 lowPrice = 0.4,
                 startupS = 45.0,
-                halls = listOf("a", "b"),
+                zones = listOf("a", "b"),
             )
 
         val SHORT_RACK = Rack(label = "small", vcpus = 2.0, memoryGb = 4.0)
--- /dev/null
+++ b/src/test/kotlin/ledgearch/RecoveryMeasurement.kt
@@ -0,0 +1,36 @@
+package ledgearch
+
+import ledgearch.simulation.RecoveryMode
+import ledgearch.simulation.RecoveryRun
+import org.junit.jupiter.api.Test
+
+/**
+ * What zone recovery changes, in simulated time; run by hand with `-Dtest=RecoveryMeasurement`. It asserts nothing about
+ * speed.
+ */
+internal class RecoveryMeasurement {
+    @Test
+    fun measure() {
+        println("measured | mode | lobby, slips, web, night whole after s | starts/s | fetches | replica restarts | rules")
+        RecoveryMode.entries.forEach(::measure)
+    }
+
+    private fun measure(mode: RecoveryMode) {
+        val runs = (1L..SEEDS).map { RecoveryRun(it, mode).play() }
+        val whole =
+            RecoveryRun.ORDERED_JOBS.indices.joinToString { job ->
+                val times = runs.map { it.wholeAfterMs[job] ?: Long.MAX_VALUE }.sorted()
+                listOf(times[times.size / 2], times.last()).joinToString("/") { seconds(it) }
+            }
+        val peaks = "${runs.maxOf { it.peakStartsASecond }} | ${runs.maxOf { it.peakFetches }}"
+        val restarts = runs.map { it.replicaRestarts }.sorted().let { "${it[it.size / 2]}/${it.last()}" }
+        println("measured | $mode | $whole | $peaks | $restarts | ${runs.sumOf { it.violations }} rules broken")
+    }
+
+    private fun seconds(ms: Long) = if (ms == Long.MAX_VALUE) "never" else "%.1f".format(ms / MS_PER_SECOND)
+
+    private companion object {
+        const val SEEDS = 7L
+        const val MS_PER_SECOND = 1000.0
+    }
+}
--- a/src/test/kotlin/ledgearch/loopback/LoopbackSimulation.kt
+++ b/src/test/kotlin/ledgearch/loopback/LoopbackSimulation.kt
@@ -95,13 +95,13 @@
     override fun bootWorker(
         name: String,
         type: String,
-        hall: String,
+        zone: String,
         borrowed: Boolean,
     ) {
         serve(endpointOf(name)) { request, answer ->
             workers[name]?.handle(request.method, request.path, request.body, answer)
         }
-        super.bootWorker(name, type, hall, borrowed)
+        super.bootWorker(name, type, zone, borrowed)
     }
 
     /** A controller gave the machine back to the cloud, though tasks may be on it. */
--- /dev/null
+++ b/src/test/kotlin/ledgearch/loopback/ZoneLossTest.kt
@@ -0,0 +1,106 @@
+package ledgearch.loopback
+
+import ledgearch.client.ControllerStatus
+import ledgearch.recovery.ZoneReport
+import ledgearch.simulation.requestOf
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path
+import kotlin.io.path.writeText
+
+/**
+ * Three real controller processes lose the workers of one zone, which return later with what they ran. Order and safety
+ * are asserted, never a speed.
+ */
+internal class ZoneLossTest {
+    @TempDir
+    lateinit var folder: Path
+
+    @Test
+    @Timeout(TEST_LIMIT_S)
+    fun `a zone is lost and returns, the lobby is whole before the nightly work, nothing runs twice`() {
+        val settings = folder.resolve("operator.json").apply { writeText(SETTINGS) }
+        LoopbackCluster(folder, MACHINES, settings).use { cluster ->
+            cluster.start()
+            cluster.await("a leader whom all follow", STEP_LIMIT_MS) { cluster.everyMachineConfirmed() }
+            cluster.await("every job accepted", STEP_LIMIT_MS) { submitted(cluster) }
+            cluster.await("all jobs run", STEP_LIMIT_MS) { allRun(cluster) }
+
+            hang(cluster, true)
+            cluster.await("zone b is lost", STEP_LIMIT_MS) { zoneB(cluster)?.state == "lost" }
+            cluster.await("the lobby is whole", STEP_LIMIT_MS) { running(cluster, LOBBY) == LOBBY_TASKS }
+            hang(cluster, false)
+            cluster.await("zone b is back", STEP_LIMIT_MS) { zoneB(cluster)?.state in setOf("returning", "up") }
+            cluster.await("all jobs run again", STEP_LIMIT_MS) { allRun(cluster) }
+
+            assertEquals(emptyList<String>(), cluster.simulation.call { cluster.simulation.rules.violations.toList() })
+            assertTrue(cluster.simulation.call { lobbyWasFirst(cluster) }, "the nightly work was whole before the lobby")
+        }
+    }
+
+    private fun submitted(cluster: LoopbackCluster): Boolean {
+        cluster.simulation.call { JOBS.forEach { cluster.simulation.submit(requestOf(it.split(' '))) } }
+        return cluster.waitFor(ACCEPTED_MS) {
+            cluster.simulation.call { listOf(SPREAD, LOBBY, NIGHT).all { cluster.simulation.rules.isAccepted(it) } }
+        }
+    }
+
+    private fun running(
+        cluster: LoopbackCluster,
+        job: String,
+    ) = cluster.simulation.call { cluster.simulation.running(job) }
+
+    private fun allRun(cluster: LoopbackCluster) =
+        running(cluster, SPREAD) == SPREAD_TASKS && running(cluster, LOBBY) == LOBBY_TASKS &&
+            running(cluster, NIGHT) == NIGHT_TASKS
+
+    private fun lobbyWasFirst(cluster: LoopbackCluster): Boolean {
+        val placements = cluster.simulation.rules.placements
+        val lobby = checkNotNull(placements.wholeAt(LOBBY))
+        val night = checkNotNull(placements.wholeAt(NIGHT))
+        return lobby <= night
+    }
+
+    /** The workers of zone b stand still, and with them what they run. */
+    private fun hang(
+        cluster: LoopbackCluster,
+        hanging: Boolean,
+    ) = cluster.simulation.call {
+        cluster.simulation.workers.values
+            .filter { it.zone == "b" }
+            .forEach { it.hanging = hanging }
+    }
+
+    private fun zoneB(cluster: LoopbackCluster): ZoneReport? {
+        val leader = cluster.leader() ?: return null
+        val status = cluster.status(leader.name) as? ControllerStatus.Answered
+        return status
+            ?.report
+            ?.recovery
+            ?.zones
+            ?.firstOrNull { it.zone == "b" }
+    }
+
+    private companion object {
+        const val MACHINES = 16
+        const val SPREAD = "job-9"
+        const val SPREAD_TASKS = 16
+        const val LOBBY = "job-1"
+        const val LOBBY_TASKS = 16
+        const val NIGHT = "job-2"
+        const val NIGHT_TASKS = 48
+        val JOBS =
+            listOf(
+                "$SPREAD standing=yes urgency=prod apart=yes tasks=$SPREAD_TASKS cpus=1",
+                "$LOBBY class=lobby standing=yes urgency=prod tasks=$LOBBY_TASKS cpus=2",
+                "$NIGHT class=night tasks=$NIGHT_TASKS cpus=1 run=600",
+            )
+        const val SETTINGS = """{"zoneRecovery":{"enabled":true,"order":[{"classes":["lobby"]},{"default":true}]}}"""
+        const val ACCEPTED_MS = 3_000L
+        const val STEP_LIMIT_MS = 60_000L
+        const val TEST_LIMIT_S = 240L
+    }
+}
--- a/src/test/kotlin/ledgearch/simulation/CloudStandIn.kt
+++ b/src/test/kotlin/ledgearch/simulation/CloudStandIn.kt
@@ -16,7 +16,7 @@
     private class Rented(
         val name: String,
         val type: String,
-        val hall: String,
+        val zone: String,
         val borrowed: Boolean,
         val since: Long,
         var status: String,
@@ -28,16 +28,19 @@
     private var next = 1
     var down = false
     var capacity = 0
+
+    /** Machines that each zone has at the most. */
+    var zoneCapacity = Int.MAX_VALUE
     var bootMs = 10_000L
     var bootsNever = 0
 
     fun add(
-        hall: String,
+        zone: String,
         borrowed: Boolean,
     ): String {
         val name = newName()
-        machines[name] = Rented(name, TYPE, hall, borrowed, simulation.clock.now, "running", true)
-        simulation.bootWorker(name, TYPE, hall, borrowed)
+        machines[name] = Rented(name, TYPE, zone, borrowed, simulation.clock.now, "running", true)
+        simulation.bootWorker(name, TYPE, zone, borrowed)
         return name
     }
 
@@ -77,7 +80,7 @@
                             it.name,
                             simulation.endpointOf(it.name),
                             it.type,
-                            it.hall,
+                            it.zone,
                             it.borrowed,
                             it.status,
                             (simulation.clock.now - it.since) / 1000.0,
@@ -117,7 +120,11 @@
         }
         val names =
             bookings[request.booking] ?: run {
-                val room = capacity - machines.size
+                val room =
+                    minOf(
+                        capacity - machines.size,
+                        zoneCapacity - machines.values.count { it.zone == request.zone },
+                    )
                 if (room <= 0) return Reply(503, """{"error":"no capacity"}""")
                 List(minOf(room, request.howMany)) { newName() }.onEach { boot(it, request) }
             }
@@ -130,13 +137,13 @@
         request: RentRequest,
     ) {
         val boots = bootsNever-- <= 0
-        val m = Rented(name, request.rack, request.hall, request.borrowed, simulation.clock.now, "booting", boots)
+        val m = Rented(name, request.rack, request.zone, request.borrowed, simulation.clock.now, "booting", boots)
         machines[name] = m
         if (boots) {
             simulation.clock.after(bootMs) {
                 if (machines[name] === m) {
                     m.status = "running"
-                    simulation.bootWorker(name, m.type, m.hall, m.borrowed)
+                    simulation.bootWorker(name, m.type, m.zone, m.borrowed)
                 }
             }
         }
--- a/src/test/kotlin/ledgearch/simulation/Expectations.kt
+++ b/src/test/kotlin/ledgearch/simulation/Expectations.kt
@@ -64,7 +64,16 @@
             "streams-dropped" to ::streamsDropped,
         )
 
-    private val checks = onTasks + onCloud + onState + onAnswers + onStandby
+    private val onZones =
+        mapOf(
+            "zone" to ::zoneState,
+            "admitted" to ::admitted,
+            "starts-in" to ::startsIn,
+            "whole-before" to ::wholeBefore,
+            "displaced" to ::displaced,
+        )
+
+    private val checks = onTasks + onCloud + onState + onAnswers + onStandby + onZones
 
     /** Compares as the second word says; when that is a job, its state. */
     fun check() {
@@ -101,6 +110,45 @@
         compare("streams-dropped ${words[2]}", count, count >= words[2].toLong())
     }
 
+    private fun leaderRecovery() =
+        simulation.nodes
+            .first { it.name == holder(simulation) }
+            .zoneRecovery
+            ?.report()
+
+    private fun zoneReport() = leaderRecovery()?.zones?.firstOrNull { it.zone == words[2] }
+
+    /** zone ZONE up|suspect|lost|returning: by its leader. */
+    private fun zoneState() {
+        val state = zoneReport()?.state ?: "unknown"
+        compare("zone ${words[2]} ${words[3]}", state, state == words[3])
+    }
+
+    /** admitted ZONE LEAST MOST: share of its machines that may take new work. */
+    private fun admitted() {
+        val share = zoneReport()?.admittedShare ?: -1.0
+        compare("admitted ${words[2]}", share, share in words[3].toDouble()..words[4].toDouble())
+    }
+
+    /** starts-in ZONE at most COUNT, since the scenario began. */
+    private fun startsIn() {
+        val count = rules.placements.startsIn(words[2])
+        compare("starts in ${words[2]} at most ${words[5]}", count, count <= words[5].toInt())
+    }
+
+    /** whole-before JOB OTHER: all tasks of the one ran together sooner again than all of the other. */
+    private fun wholeBefore() {
+        val (first, second) = words.slice(2..3).map { rules.placements.wholeAt(it) }
+        val holds = first != null && (second == null || first < second)
+        compare("${words[2]} whole before ${words[3]}", "$first and $second ms", holds)
+    }
+
+    /** displaced GROUP COUNT: tasks of the group that wait to be started again, at the least. */
+    private fun displaced() {
+        val count = leaderRecovery()?.displaced?.get(words[2]) ?: 0
+        compare("displaced ${words[2]} ${words[3]}", count, count >= words[3].toInt())
+    }
+
     private fun running() {
         val count = simulation.running(words[2])
         compare("running ${words[2]} ${words[3]}", count, count == words[3].toInt())
--- a/src/test/kotlin/ledgearch/simulation/Rules.kt
+++ b/src/test/kotlin/ledgearch/simulation/Rules.kt
@@ -65,6 +65,9 @@
     private val audit = ExecutionAudit(Simulation.CANCEL_MS, ::broken)
     val auditLooks = AuditLooks(simulation, audit)
 
+    /** Where and when tasks were started. */
+    val placements = PlacementTimes(simulation)
+
     fun startsOf(job: String) = starts[job] ?: 0
 
     /** The highest attempt number that a worker was sent; its low bits count the leader's decisions. */
@@ -174,6 +177,7 @@
         audit.started(task.portion, worker.name, simulation.clock.now)
         val spec = submitted[job] ?: return broken("invented", "${task.portion} started")
         starts.merge(job, 1, Int::plus)
+        placements.started(job, spec.portions, worker.zone)
         val everywhere =
             simulation.workers.values
                 .filter { it.alive }
@@ -191,15 +195,15 @@
         val use = everywhere.mapNotNull { (_, t) -> spec(t.portion) }.filter { it.crew == spec.crew }.sumOf { it.vcpus }
         if (use > simulation.teamMax) broken("quota", "${spec.crew} uses $use")
         val siblings = everywhere.filter { (_, t) -> t.portion.substringBefore('/') == job }
-        val here = siblings.count { (w, _) -> w.hall == worker.hall }
+        val here = siblings.count { (w, _) -> w.zone == worker.zone }
         if (spec.apart &&
             here > (spec.portions + 1) / 2
         ) {
-            broken("wrong_place", "${task.portion}: $here of ${spec.portions} in ${worker.hall}")
+            broken("wrong_place", "${task.portion}: $here of ${spec.portions} in ${worker.zone}")
         }
         if (spec.samePlace && here != siblings.size) broken("wrong_place", "${task.portion}: not with the others")
         if (worker.borrowed && !spec.borrowed) broken("wrong_place", "${task.portion} on spot")
-        if (spec.hall != null && spec.hall != worker.hall) broken("wrong_place", "${task.portion} in ${worker.hall}")
+        if (spec.zone != null && spec.zone != worker.zone) broken("wrong_place", "${task.portion} in ${worker.zone}")
         if (job in withdrawnAt) broken("ran_cancelled", "${task.portion} started")
         dependencies.started(task.portion, worker.name)
     }
@@ -351,7 +355,7 @@
                 }
         if (use + spec.vcpus > simulation.teamMax) return false
         return free.any { (w, cpus) ->
-            cpus >= spec.vcpus && (spec.hall == null || spec.hall == w.hall) &&
+            cpus >= spec.vcpus && (spec.zone == null || spec.zone == w.zone) &&
                 (spec.borrowed || !w.borrowed)
         }
     }
--- a/src/test/kotlin/ledgearch/simulation/Scenario.kt
+++ b/src/test/kotlin/ledgearch/simulation/Scenario.kt
@@ -3,7 +3,9 @@
 import ledgearch.Tuning
 import ledgearch.config.NextStateLimits
 import ledgearch.config.OperatorSettings
+import ledgearch.config.RecoveryGroup
 import ledgearch.config.StateLimits
+import ledgearch.config.ZoneRecoverySettings
 
 /**
  * A scenario in a text file. A line is a time in seconds, a step and its words; `#` begins a comment. Steps of the
@@ -77,14 +79,23 @@
         ).also {
             it.loss = options["loss"]?.toDouble() ?: 0.0
             it.cloud.capacity = options["capacity"]?.toInt() ?: 0
+            options["zone-capacity"]?.let { most -> it.cloud.zoneCapacity = most.toInt() }
         }
 
     private fun operator() =
         OperatorSettings(
             spot = options["spot"] != "no",
             maxMachines = options["max-machines"]?.toInt() ?: Tuning.MAX_MACHINES,
+            zoneRecovery = zoneRecovery(),
         )
 
+    /** zone-recovery GROUPS: classes of each group, as `lobby | slips,web | *`; without groups, today's order. */
+    private fun zoneRecovery(): ZoneRecoverySettings {
+        val groups = options["zone-recovery"] ?: return ZoneRecoverySettings()
+        val classes = groups.split('|').map { it.trim() }.filter { it.isNotEmpty() }
+        return ZoneRecoverySettings(true, classes.map { RecoveryGroup(name = it, classes = it.split(',')) })
+    }
+
     private fun stateLimits(): StateLimits {
         val named = NextStateLimits(options["rps"]?.toDouble(), options["write-rps"]?.toDouble(), null, null)
         return ScenarioLimits.of(named)
--- a/src/test/kotlin/ledgearch/simulation/Simulation.kt
+++ b/src/test/kotlin/ledgearch/simulation/Simulation.kt
@@ -20,6 +20,7 @@
 import ledgearch.http.Reply
 import ledgearch.http.Request
 import ledgearch.http.Response
+import ledgearch.recovery.ZoneRecovery
 import ledgearch.standby.WarmStandby
 import ledgearch.wire.WorkRequest
 import kotlin.random.Random
@@ -69,7 +70,7 @@
     ) = pattern == name ||
         (pattern == "workers" && name.startsWith("host-")) ||
         (pattern == "nodes" && name.startsWith("n")) ||
-        (pattern.startsWith("zone-") && workers[name]?.hall == pattern.removePrefix("zone-")) ||
+        (pattern.startsWith("zone-") && workers[name]?.zone == pattern.removePrefix("zone-")) ||
         (pattern == "all" && name != "user")
 
     /** What two kinds of hosts, or [oneWay] only the first to the second, suffer until then. */
@@ -153,6 +154,7 @@
             get() = controller?.let { it.isReady || clock.now - startedAt >= Tuning.LISTEN_WAIT_MS } == true
         val standby: WarmStandby? get() = controller?.standby
         val takeoverMs: Long? get() = controller?.takeoverMs
+        val zoneRecovery: ZoneRecovery? get() = controller?.zoneRecovery
         var refusing = false
 
         fun start() {
@@ -454,7 +456,7 @@
         body: String,
         answer: (Reply) -> Unit,
     ) {
-        if (from in unreporting || "zone-" + workers[from]?.hall in unreporting) return
+        if (from in unreporting || "zone-" + workers[from]?.zone in unreporting) return
         keep(body)
         send(from, to, "POST", "/checkin", body) { if (from !in unanswered) answer(it) }
         if (copied > 0 && random.nextDouble() < copied) {
@@ -501,10 +503,10 @@
     open fun bootWorker(
         name: String,
         type: String,
-        hall: String,
+        zone: String,
         borrowed: Boolean,
     ) {
-        val worker = WorkerStandIn(this, name, type, hall, borrowed)
+        val worker = WorkerStandIn(this, name, type, zone, borrowed)
         // First it is in its zone: a cut of that zone holds back its first report too.
         workers[name] = worker
         worker.boot()
--- a/src/test/kotlin/ledgearch/simulation/Submissions.kt
+++ b/src/test/kotlin/ledgearch/simulation/Submissions.kt
@@ -15,7 +15,7 @@
         vcpus = o["cpus"]?.toDouble() ?: 2.0,
         accelerators = o["gpus"]?.toDouble() ?: 0.0,
         memoryGb = o["mem"]?.toDouble() ?: 1.0,
-        hall = o["hall"],
+        zone = o["zone"],
         samePlace = o["together"] == "yes",
         apart = o["apart"] == "yes",
         borrowed = o["spot"] == "yes",
--- a/src/test/kotlin/ledgearch/simulation/WorkerStandIn.kt
+++ b/src/test/kotlin/ledgearch/simulation/WorkerStandIn.kt
@@ -15,7 +15,7 @@
     private val simulation: Simulation,
     val name: String,
     val type: String,
-    val hall: String,
+    val zone: String,
     val borrowed: Boolean,
 ) {
     class Task(
@@ -99,7 +99,7 @@
             name,
             endpoint,
             type,
-            hall,
+            zone,
             borrowed,
             shift,
             ++ticket,
