Archive of classes for a start with operators' settings

Cause: following the leader cost nothing to speak of, but a start with an operators' file took more than twice the processor time of one without: checking the file by its schema loads classes that the archive lacked. On a twentieth of a core that is seconds of a take-over.

--- a/src/main/kotlin/ledgearch/cli/Main.kt
+++ b/src/main/kotlin/ledgearch/cli/Main.kt
@@ -70,7 +70,7 @@
     val command = words.firstOrNull() ?: return usage("no command")
     if (command == "status") return status(words.drop(1))
     if (words.size > 1) return usage("unknown argument: ${words[1]}")
-    if (command == "warm-up") return warmUp()
+    if (command == "warm-up") return warmUp(line.getOptionValue("operator")?.let(Path::of))
     if (command != "serve" && command != "check-config") return usage("unknown command: $command")
     val file = line.getOptionValue("config") ?: return usage("$command needs --config FILE")
     val settings =
--- a/src/main/kotlin/ledgearch/cli/WarmUp.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUp.kt
@@ -1,15 +1,18 @@
 package ledgearch.cli
 
+import ledgearch.config.OperatorLoader
 import ledgearch.config.SettingsLoader
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.nio.file.Files
+import java.nio.file.Path
 
 /**
  * Run by the build to record which classes a controller loads after a restart, for the class-data-sharing archive: one
- * is started on loopback with stand-ins of all that it talks to, serves them for a moment and ends.
+ * is started on loopback with stand-ins of all that it talks to, serves them for a moment and ends. With an
+ * [operatorFile] it also reads and checks that, which takes many classes of its own.
  */
-internal fun warmUp(): Int {
+internal fun warmUp(operatorFile: Path?): Int {
     val file = Files.createTempFile("ledgearch", ".json")
     try {
         val ports = List(5) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort } }
@@ -28,7 +31,8 @@
                "next":{"rps":100.0,"write_rps":25.0,"value_kb":8.0,"txn_ops":16}},"cloud":{"rps":1.5,"list_lag_s":8.0}}}
             """.trimIndent(),
         )
-        val settings = SettingsLoader.load(file)
+        val platform = SettingsLoader.load(file)
+        val settings = operatorFile?.let { platform.copy(operator = OperatorLoader.load(it)) } ?: platform
         WarmUpServices(settings).play()
     } finally {
         Files.deleteIfExists(file)
--- a/src/test/kotlin/ledgearch/OperatorSettingsTest.kt
+++ b/src/test/kotlin/ledgearch/OperatorSettingsTest.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.io.TempDir
 import java.nio.file.Path
+import kotlin.io.path.listDirectoryEntries
 import kotlin.io.path.writeText
 
 /** The operators' file against the published schema. */
@@ -35,6 +36,13 @@
             }
         }
 
+    @Test
+    fun `the examples for deployments can be used`() {
+        val examples = Path.of("deploy").listDirectoryEntries("operator-*.json")
+        assertTrue(examples.size > 1)
+        examples.forEach(OperatorLoader::load)
+    }
+
     @Test
     fun valuesAreTaken() {
         val file = folder.resolve("operator.json").apply { writeText("""{"spot":false,"maxMachines":10}""") }
