--- a/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
@@ -100,7 +100,7 @@
     private fun report(): String {
         val report =
             CheckIn(
-                stove = MACHINE,
+                machine = MACHINE,
                 endpoint = settings.outside.cloud,
                 rack = "r",
                 zone = "z",
--- a/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
+++ b/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
@@ -169,7 +169,7 @@
                 if (reply.status == 200 ||
                     reply.status == 409
                 ) {
-                    parse(reply)?.takeIf { it.stove == m.name }
+                    parse(reply)?.takeIf { it.machine == m.name }
                 } else {
                     null
                 }
--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -282,7 +282,7 @@
             return null
         }
         if (!takeover.machinesRead) return emptyList()
-        val m = machines[report.stove] ?: adopt(report) ?: return emptyList()
+        val m = machines[report.machine] ?: adopt(report) ?: return emptyList()
         // A copy that comes late: its answer reaches no worker that would take it, so it renews no lease, and what it
         // tells is old.
         if (isCopy(m, report)) return emptyList()
@@ -339,8 +339,8 @@
     /** A machine without a record: nothing was ever started on it, since the record comes first. */
     private fun adopt(report: CheckIn): Machine? {
         val rack = jobStore.racks[report.rack] ?: return null
-        if (fleet.isReturned(report.stove)) return null
-        val m = Machine(report.stove, report.endpoint, rack, report.zone, report.borrowed, now.steady, teams)
+        if (fleet.isReturned(report.machine)) return null
+        val m = Machine(report.machine, report.endpoint, rack, report.zone, report.borrowed, now.steady, teams)
         m.answeredAt = now.steady
         metrics.count("machine.joined")
         join(m)
--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -17,11 +17,11 @@
 import ledgearch.leader.Election
 import ledgearch.state.TokenBucket
 import ledgearch.wire.Catalog
-import ledgearch.wire.ListedStove
+import ledgearch.wire.ListedMachine
 import ledgearch.wire.Rack
 import ledgearch.wire.RentRequest
-import ledgearch.wire.StoveList
-import ledgearch.wire.StoveNames
+import ledgearch.wire.MachineList
+import ledgearch.wire.MachineNames
 import ledgearch.wire.WireJson
 import org.slf4j.LoggerFactory
 
@@ -161,7 +161,7 @@
         releasing = true
         names.forEach { leader.machines[it]?.releaseSent = true }
         val token = election().token
-        call("POST", "/hosts/release", WireJson.encodeToString(StoveNames.serializer(), StoveNames(names))) { reply ->
+        call("POST", "/hosts/release", WireJson.encodeToString(MachineNames.serializer(), MachineNames(names))) { reply ->
             if (election().token == 0L) return@call
             releasing = false
             if (reply.status != 200) {
@@ -196,46 +196,46 @@
             // Thousands of machines take several calls, and rentals and returns need some of those allowed too.
             listAt =
                 now.steady + maxOf(Tuning.LIST_MS, (page * Tuning.LIST_PAGE_CALLS * MS_PER_S / callsASecond).toLong())
-            val list = parse(reply) { WireJson.decodeFromString(StoveList.serializer(), it) } ?: return@call
+            val list = parse(reply) { WireJson.decodeFromString(MachineList.serializer(), it) } ?: return@call
             if (!election().holding) return@call
-            list.stoves.forEach { listed(leader, it) }
-            if (list.hasNext && list.stoves.isNotEmpty()) {
+            list.machines.forEach { listed(leader, it) }
+            if (list.hasNext && list.machines.isNotEmpty()) {
                 listBusy = true
-                listPage(leader, list.stoves.last().ref, page + 1)
+                listPage(leader, list.machines.last().ref, page + 1)
             }
         }
     }
 
     private fun listed(
         leader: Leader,
-        stove: ListedStove,
+        machine: ListedMachine,
     ) {
-        val m = leader.machines[stove.ref]
-        if (stove.ref in returned || stove.ref in toRelease) return
-        when (stove.status) {
+        val m = leader.machines[machine.ref]
+        if (machine.ref in returned || machine.ref in toRelease) return
+        when (machine.status) {
             "failed" -> {
-                log.info("machine {} has failed", stove.ref)
-                toRelease.add(stove.ref)
+                log.info("machine {} has failed", machine.ref)
+                toRelease.add(machine.ref)
                 m?.let(leader::machineGone)
             }
 
             "booting" -> {
                 if (m == null) {
-                    val rack = jobStore().racks[stove.rack] ?: return
+                    val rack = jobStore().racks[machine.rack] ?: return
                     val patience = rack.startupS * Tuning.BOOT_PATIENCE
-                    if (stove.heldS > patience) {
-                        log.info("machine {} does not come up; it is returned", stove.ref)
-                        booting.remove(stove.ref)
-                        toRelease.add(stove.ref)
+                    if (machine.heldS > patience) {
+                        log.info("machine {} does not come up; it is returned", machine.ref)
+                        booting.remove(machine.ref)
+                        toRelease.add(machine.ref)
                     } else {
-                        val pool = Pool(rack, stove.zone, stove.borrowed)
-                        expectBoot(leader, stove.ref, Booting(pool, now.steady - (stove.heldS * 1000).toLong()))
+                        val pool = Pool(rack, machine.zone, machine.borrowed)
+                        expectBoot(leader, machine.ref, Booting(pool, now.steady - (machine.heldS * 1000).toLong()))
                     }
                 }
             }
 
             else -> {
-                if (m == null) unheard(leader, stove)
+                if (m == null) unheard(leader, machine)
             }
         }
     }
@@ -255,14 +255,14 @@
      */
     private fun unheard(
         leader: Leader,
-        stove: ListedStove,
+        machine: ListedMachine,
     ) {
-        val since = unheard.getOrPut(stove.ref) { now.steady }
-        if (stalls.heedfulSince(since) < Tuning.UNHEARD_MS || leader.isCutOff(stove.zone)) return
-        log.info("machine {} is up and does not report; it is returned", stove.ref)
-        unheard.remove(stove.ref)
-        booting.remove(stove.ref)
-        toRelease.add(stove.ref)
+        val since = unheard.getOrPut(machine.ref) { now.steady }
+        if (stalls.heedfulSince(since) < Tuning.UNHEARD_MS || leader.isCutOff(machine.zone)) return
+        log.info("machine {} is up and does not report; it is returned", machine.ref)
+        unheard.remove(machine.ref)
+        booting.remove(machine.ref)
+        toRelease.add(machine.ref)
     }
 
     private fun plan(leader: Leader) {
@@ -443,7 +443,7 @@
                     val names =
                         parse(
                             reply,
-                        ) { WireJson.decodeFromString(StoveNames.serializer(), it) }?.stoves.orEmpty()
+                        ) { WireJson.decodeFromString(MachineNames.serializer(), it) }?.machines.orEmpty()
                     log.info(
                         "rented {} of {} {} in {}{}",
                         names.size,
--- a/src/main/kotlin/ledgearch/wire/Cloud.kt
+++ b/src/main/kotlin/ledgearch/wire/Cloud.kt
@@ -33,12 +33,12 @@
 )
 
 @Serializable
-data class StoveNames(
-    val stoves: List<String> = emptyList(),
+data class MachineNames(
+    @SerialName("stoves") val machines: List<String> = emptyList(),
 )
 
 @Serializable
-data class ListedStove(
+data class ListedMachine(
     val ref: String,
     val endpoint: String? = null,
     val rack: String,
@@ -49,7 +49,7 @@
 )
 
 @Serializable
-data class StoveList(
-    val stoves: List<ListedStove> = emptyList(),
+data class MachineList(
+    @SerialName("stoves") val machines: List<ListedMachine> = emptyList(),
     val hasNext: Boolean = false,
 )
--- a/src/main/kotlin/ledgearch/wire/Workers.kt
+++ b/src/main/kotlin/ledgearch/wire/Workers.kt
@@ -17,7 +17,7 @@
 /** A worker's report, also the body of the answers of `/orders` and `/show`. */
 @Serializable
 data class CheckIn(
-    val stove: String,
+    @SerialName("stove") val machine: String,
     val endpoint: String,
     val rack: String,
     @SerialName("hall") val zone: String,
--- a/src/test/kotlin/ledgearch/simulation/CloudStandIn.kt
+++ b/src/test/kotlin/ledgearch/simulation/CloudStandIn.kt
@@ -2,11 +2,11 @@
 
 import ledgearch.http.Reply
 import ledgearch.wire.Catalog
-import ledgearch.wire.ListedStove
+import ledgearch.wire.ListedMachine
 import ledgearch.wire.Rack
 import ledgearch.wire.RentRequest
-import ledgearch.wire.StoveList
-import ledgearch.wire.StoveNames
+import ledgearch.wire.MachineList
+import ledgearch.wire.MachineNames
 import ledgearch.wire.WireJson
 
 /** The cloud by its published protocol: one machine type in two zones. */
@@ -62,7 +62,7 @@
             }
 
             path == "/hosts/release" -> {
-                for (name in WireJson.decodeFromString(StoveNames.serializer(), body.orEmpty()).stoves) {
+                for (name in WireJson.decodeFromString(MachineNames.serializer(), body.orEmpty()).machines) {
                     remove(name)
                     simulation.removeWorker(name)
                 }
@@ -76,7 +76,7 @@
             path == "/hosts" -> {
                 val listed =
                     listed().map {
-                        ListedStove(
+                        ListedMachine(
                             it.name,
                             simulation.endpointOf(it.name),
                             it.type,
@@ -86,7 +86,7 @@
                             (simulation.clock.now - it.since) / 1000.0,
                         )
                     }
-                answer(Reply(200, WireJson.encodeToString(StoveList.serializer(), StoveList(listed))))
+                answer(Reply(200, WireJson.encodeToString(MachineList.serializer(), MachineList(listed))))
             }
 
             else -> {
@@ -129,7 +129,7 @@
                 List(minOf(room, request.howMany)) { newName() }.onEach { boot(it, request) }
             }
         bookings[request.booking] = names
-        return Reply(200, WireJson.encodeToString(StoveNames.serializer(), StoveNames(names)))
+        return Reply(200, WireJson.encodeToString(MachineNames.serializer(), MachineNames(names)))
     }
 
     private fun boot(
