--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -175,7 +175,7 @@
             job.spec.portions,
             job.spec.menu,
             job.spec.vcpus,
-            job.spec.crew,
+            job.spec.team,
             job.spec.cookS,
             job.spec.recipe,
             job.spec.sizeGb,
--- a/src/main/kotlin/ledgearch/core/Teams.kt
+++ b/src/main/kotlin/ledgearch/core/Teams.kt
@@ -58,8 +58,8 @@
                 job.guaranteed = false
                 continue
             }
-            val team = uses[job.spec.crew]?.team ?: continue
-            val sums = promised.getOrPut(job.spec.crew) { DoubleArray(2) }
+            val team = uses[job.spec.team]?.team ?: continue
+            val sums = promised.getOrPut(job.spec.team) { DoubleArray(2) }
             sums[0] += job.spec.vcpus * job.spec.portions
             sums[1] += job.spec.accelerators * job.spec.portions
             job.guaranteed = sums[0] <= team.cpus + Machine.ROUNDING && sums[1] <= team.gpus + Machine.ROUNDING
@@ -73,7 +73,7 @@
     ) {
         val job = p.job ?: return countUnknown(p.machine.rack, sign)
         if (p.stop == Stop.NONE) goingOn[job.urgency] += sign
-        val use = uses[job.spec.crew] ?: return
+        val use = uses[job.spec.team] ?: return
         use.cpus += sign * job.spec.vcpus
         use.gpus += sign * job.spec.accelerators
         if (p.stop != Stop.NONE) return
@@ -110,7 +110,7 @@
             use.hiddenGpus = 0.0
         }
         for (job in jobs) {
-            val use = uses[job.spec.crew]
+            val use = uses[job.spec.team]
             if (job.trusted || use == null) continue
             use.hiddenCpus += job.pendingCount * job.spec.vcpus
             use.hiddenGpus += job.pendingCount * job.spec.accelerators
@@ -144,7 +144,7 @@
 
     /** One more task of [job] keeps its team within its limit, whatever runs where nothing is known. */
     fun allows(job: Job): Boolean {
-        val use = uses[job.spec.crew] ?: return false
+        val use = uses[job.spec.team] ?: return false
         val cpus = use.cpus + unknownCpus + minOf(hiddenCpus, use.hiddenCpus)
         val gpus = use.gpus + unknownGpus + minOf(hiddenGpus, use.hiddenGpus)
         return cpus + job.spec.vcpus <= use.team.cpusMax + Machine.ROUNDING &&
@@ -156,7 +156,7 @@
         job: Job,
         more: Int,
     ): Boolean {
-        val use = uses[job.spec.crew] ?: return false
+        val use = uses[job.spec.team] ?: return false
         return job.guaranteed &&
             use.keptCpus + more * job.spec.vcpus <= use.team.cpus + Machine.ROUNDING &&
             use.keptGpus + more * job.spec.accelerators <= use.team.gpus + Machine.ROUNDING
@@ -171,8 +171,8 @@
         job: Job,
         given: List<Job> = emptyList(),
     ): Boolean {
-        val use = uses[job.spec.crew] ?: return false
-        val ours = given.filter { it.spec.crew == job.spec.crew }
+        val use = uses[job.spec.team] ?: return false
+        val ours = given.filter { it.spec.team == job.spec.team }
         return use.keptCpus - job.spec.vcpus - ours.sumOf { it.spec.vcpus } >= use.team.cpus - Machine.ROUNDING &&
             use.keptGpus - job.spec.accelerators - ours.sumOf { it.spec.accelerators } >=
             use.team.gpus - Machine.ROUNDING
@@ -180,7 +180,7 @@
 
     /** How many more tasks of [job] its team's limit allows once what is being stopped is gone. */
     fun roomOnceStopped(job: Job): Int {
-        val use = uses[job.spec.crew] ?: return 0
+        val use = uses[job.spec.team] ?: return 0
         return Room.tasks(
             use.team.cpusMax - use.keptCpus,
             job.spec.vcpus,
@@ -195,7 +195,7 @@
         job: Job,
         promised: Double = 0.0,
     ): Int {
-        val use = uses[job.spec.crew] ?: return 0
+        val use = uses[job.spec.team] ?: return 0
         return Room.tasks(
             use.team.cpusMax - use.cpus - promised,
             job.spec.vcpus,
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -130,12 +130,12 @@
             var hunt: Hunt? = null
             var done = 0
             while (done < job.pendingCount) {
-                val cpus = promised[job.spec.crew] ?: 0.0
+                val cpus = promised[job.spec.team] ?: 0.0
                 val guaranteed = mayClaim(job, 1 + if (job.spec.vcpus > 0) (cpus / job.spec.vcpus).toInt() else 0)
                 // What was tried in vain for one job is not tried again for another that may stop no more.
                 val tried =
                     unplaceable.getOrPut(
-                        if (guaranteed) listOf(job.urgency, job.spec.crew) else listOf(job.urgency),
+                        if (guaranteed) listOf(job.urgency, job.spec.team) else listOf(job.urgency),
                     ) { UnplaceableSizes() }
                 val allowed = allZones.filterTo(HashSet()) { zones.allows(it) }
                 if (!sparing && tried.covers(job, allowed)) break
@@ -166,7 +166,7 @@
                 h.putBack(prospect)
                 zones.add(prospect.machine.zone)
                 placed.merge(job, 1, Int::plus)
-                promised[job.spec.crew] = cpus + job.spec.vcpus
+                promised[job.spec.team] = cpus + job.spec.vcpus
                 done++
             }
         }
@@ -198,7 +198,7 @@
     private fun mayYield(
         job: Job,
         other: Job,
-    ) = other.spec.crew == job.spec.crew && other.urgency > job.urgency && !recovery.protects(other, job) &&
+    ) = other.spec.team == job.spec.team && other.urgency > job.urgency && !recovery.protects(other, job) &&
         other.spec.vcpus >= job.spec.vcpus && other.spec.accelerators >= job.spec.accelerators
 
     /**
@@ -316,7 +316,7 @@
     private fun isSpareOfOtherTeam(
         job: Job,
         victim: Job,
-    ): Boolean = !victim.guaranteed && victim.spec.crew != job.spec.crew && !victim.standing && teams.canSpare(victim)
+    ): Boolean = !victim.guaranteed && victim.spec.team != job.spec.team && !victim.standing && teams.canSpare(victim)
 
     /** Aims that the job of [p] meets only if [p] goes on; none if other tasks of it wait to be started anyway. */
     private fun missed(p: Placement): Int {
--- a/src/main/kotlin/ledgearch/fleet/Demand.kt
+++ b/src/main/kotlin/ledgearch/fleet/Demand.kt
@@ -71,10 +71,10 @@
                 jobs.filter { it.startable(now.steady) }.sortedWith(compareBy({ it.urgency }, { it.readyAt }))
             return (leader.recovery?.arrange(listOf(waiting))?.single() ?: waiting)
                 .mapNotNull { job ->
-                    val taken = perTeam[job.spec.crew] ?: 0.0
+                    val taken = perTeam[job.spec.team] ?: 0.0
                     val tasks = minOf(job.pendingCount, leader.teams.roomFor(job, taken))
                     if (tasks <= 0) return@mapNotNull null
-                    perTeam[job.spec.crew] = taken + tasks * job.spec.vcpus
+                    perTeam[job.spec.team] = taken + tasks * job.spec.vcpus
                     Demand(job, tasks)
                 }
         }
--- a/src/main/kotlin/ledgearch/fleet/Reserve.kt
+++ b/src/main/kotlin/ledgearch/fleet/Reserve.kt
@@ -50,7 +50,7 @@
     fun opened(job: Job) {
         if (job.spec.menu !in withinS) return
         // More than its team's limit never starts at once.
-        val atOnce = minOf(job.spec.vcpus * job.spec.portions, limits[job.spec.crew] ?: 0.0)
+        val atOnce = minOf(job.spec.vcpus * job.spec.portions, limits[job.spec.team] ?: 0.0)
         arrivals.getOrPut(job.spec.menu) { Arrivals(!job.spec.borrowed) }.let {
             it.fade(now.steady)
             it.add(atOnce)
--- a/src/main/kotlin/ledgearch/intake/Submissions.kt
+++ b/src/main/kotlin/ledgearch/intake/Submissions.kt
@@ -97,7 +97,7 @@
         }
         if (joined(id, respond)) return
         if (jobStore.racks.isEmpty() || waiting.size >= Tuning.INTAKE_BACKLOG) return respond(answers.tryAgain())
-        val impossible = Validation.impossible(spec, limits.teams[spec.crew], jobStore.racks.values)
+        val impossible = Validation.impossible(spec, limits.teams[spec.team], jobStore.racks.values)
         when {
             impossible != null -> refuse(id, HttpStatus.UNPROCESSABLE, impossible, respond)
             spec.awaits == null -> accept(record, respond)
--- a/src/main/kotlin/ledgearch/intake/Submitted.kt
+++ b/src/main/kotlin/ledgearch/intake/Submitted.kt
@@ -31,7 +31,7 @@
             WorkRequest(
                 ref = id,
                 menu = text("menu"),
-                crew = text("crew"),
+                team = text("crew"),
                 shape = text("shape"),
                 urgency = text("urgency"),
                 portions = count("portions", 1, MAX_TASKS),
--- a/src/main/kotlin/ledgearch/intake/Validation.kt
+++ b/src/main/kotlin/ledgearch/intake/Validation.kt
@@ -17,10 +17,10 @@
         team: Team?,
         racks: Collection<Rack>,
     ): String? {
-        if (team == null) return "unknown crew"
+        if (team == null) return "unknown team"
         val counted = if (r.shape == Shapes.STANDING) r.portions else 1
-        if (r.vcpus * counted > team.cpusMax + Machine.ROUNDING) return "more vcpus than the crew's limit"
-        if (r.accelerators * counted > team.gpusMax + Machine.ROUNDING) return "more accelerators than the crew's limit"
+        if (r.vcpus * counted > team.cpusMax + Machine.ROUNDING) return "more vcpus than the team's limit"
+        if (r.accelerators * counted > team.gpusMax + Machine.ROUNDING) return "more accelerators than the team's limit"
         val fits =
             racks.any { rack ->
                 (r.racks == null || rack.label in r.racks) &&
--- a/src/main/kotlin/ledgearch/wire/Users.kt
+++ b/src/main/kotlin/ledgearch/wire/Users.kt
@@ -8,7 +8,7 @@
 data class WorkRequest(
     val ref: String,
     val menu: String,
-    val crew: String,
+    @SerialName("crew") val team: String,
     val shape: String,
     val urgency: String,
     val portions: Int,
--- a/src/test/kotlin/ledgearch/MixedVersionsTest.kt
+++ b/src/test/kotlin/ledgearch/MixedVersionsTest.kt
@@ -190,7 +190,7 @@
             WorkRequest(
                 ref = "job-1",
                 menu = "training",
-                crew = "red",
+                team = "red",
                 shape = Shapes.STANDING,
                 urgency = "urgent",
                 portions = 12,
@@ -214,7 +214,7 @@
             WorkRequest(
                 ref = "job-2",
                 menu = "training",
-                crew = "red",
+                team = "red",
                 shape = Shapes.SWEEP,
                 urgency = "normal",
                 portions = 1,
--- a/src/test/kotlin/ledgearch/simulation/ProductionWorkload.kt
+++ b/src/test/kotlin/ledgearch/simulation/ProductionWorkload.kt
@@ -118,7 +118,7 @@
         WorkRequest(
             ref = newName(),
             menu = "batch",
-            crew = if (random.nextBoolean()) "red" else "blue",
+            team = if (random.nextBoolean()) "red" else "blue",
             shape = "sweep",
             urgency = listOf("urgent", "normal", "best_effort")[random.nextInt(3)],
             portions = 1 + random.nextInt(if (random.nextInt(LARGE_ONE_IN) == 0) MOST_TASKS else MOST_TASKS_OF_SMALL),
--- a/src/test/kotlin/ledgearch/simulation/Rules.kt
+++ b/src/test/kotlin/ledgearch/simulation/Rules.kt
@@ -192,8 +192,8 @@
         ) {
             broken("ran_twice", "${task.portion} on ${worker.name}")
         }
-        val use = everywhere.mapNotNull { (_, t) -> spec(t.portion) }.filter { it.crew == spec.crew }.sumOf { it.vcpus }
-        if (use > simulation.teamMax) broken("quota", "${spec.crew} uses $use")
+        val use = everywhere.mapNotNull { (_, t) -> spec(t.portion) }.filter { it.team == spec.team }.sumOf { it.vcpus }
+        if (use > simulation.teamMax) broken("quota", "${spec.team} uses $use")
         val siblings = everywhere.filter { (_, t) -> t.portion.substringBefore('/') == job }
         val here = siblings.count { (w, _) -> w.zone == worker.zone }
         if (spec.apart &&
@@ -350,7 +350,7 @@
                     w.tasks.values
                         .filter { it.status != "exited" }
                         .mapNotNull { spec(it.portion) }
-                        .filter { it.crew == spec.crew }
+                        .filter { it.team == spec.team }
                         .sumOf { it.vcpus }
                 }
         if (use + spec.vcpus > simulation.teamMax) return false
--- a/src/test/kotlin/ledgearch/simulation/Submissions.kt
+++ b/src/test/kotlin/ledgearch/simulation/Submissions.kt
@@ -8,7 +8,7 @@
     return WorkRequest(
         ref = words[0],
         menu = o["class"] ?: "batch",
-        crew = o["team"] ?: "red",
+        team = o["team"] ?: "red",
         shape = if (o["standing"] == "yes") "standing" else "sweep",
         urgency = o["urgency"] ?: "normal",
         portions = o["tasks"]?.toInt() ?: 1,
