--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -173,7 +173,7 @@
             "{} opened: {} {} tasks of {} processors for {}, estimate {} s, image {} of {} GB",
             job.id,
             job.spec.portions,
-            job.spec.menu,
+            job.spec.jobClass,
             job.spec.vcpus,
             job.spec.team,
             job.spec.cookS,
@@ -459,7 +459,7 @@
         by: Job,
     ) {
         metrics.count("task.preempted")
-        log.debug("{} on {} makes room for {} ({})", p.task, p.machine.name, by.id, by.spec.menu)
+        log.debug("{} on {} makes room for {} ({})", p.task, p.machine.name, by.id, by.spec.jobClass)
         stop(p)
     }
 
--- a/src/main/kotlin/ledgearch/core/placement/Deadlines.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Deadlines.kt
@@ -58,7 +58,7 @@
     private fun ownDeadlines(job: Job): List<Double> {
         val due = job.spec.serveS ?: return emptyList()
         val submittedAt = job.record.at / MS_PER_SECOND
-        return (multiples[job.spec.menu] ?: listOf(1.0)).map { submittedAt + due * it }
+        return (multiples[job.spec.jobClass] ?: listOf(1.0)).map { submittedAt + due * it }
     }
 
     private companion object {
--- a/src/main/kotlin/ledgearch/core/placement/Estimates.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Estimates.kt
@@ -34,7 +34,7 @@
         if (job.spec.cookS <= 0 || seconds <= 0) return
         // Every job counts the same, however many tasks it has.
         val w = 1.0 / job.spec.portions
-        val s = seen.getOrPut(job.spec.menu) { Seen() }
+        val s = seen.getOrPut(job.spec.jobClass) { Seen() }
         s.weight = minOf(s.weight + w, Tuning.ESTIMATE_JOBS)
         s.logRatio += (ln(seconds / job.spec.cookS) - s.logRatio) * minOf(1.0, w / s.weight)
     }
@@ -55,7 +55,7 @@
 
     fun seconds(job: Job): Double {
         if (job.runTime.tasks > 0) return job.runTime.mean
-        val s = seen[job.spec.menu]
+        val s = seen[job.spec.jobClass]
         // The weight of one job stands for the owners being right on the average.
         val correction = if (s == null) 1.0 else exp(s.logRatio * s.weight / (s.weight + 1.0))
         return job.spec.cookS * correction
--- a/src/main/kotlin/ledgearch/core/placement/Ranking.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Ranking.kt
@@ -26,7 +26,7 @@
 
     /** The job's class is to start sooner than an image can be fetched, and it is not too late for that. */
     fun hurried(job: Job): Boolean {
-        val within = startWithin[job.spec.menu] ?: return false
+        val within = startWithin[job.spec.jobClass] ?: return false
         return within < job.spec.sizeGb * Tuning.FETCH_S_PER_GB && age(job) < within
     }
 
@@ -51,7 +51,7 @@
     fun patient(
         job: Job,
         seconds: Double,
-    ) = !job.standing && age(job) < minOf(seconds, (startWithin[job.spec.menu] ?: Double.MAX_VALUE) / 2)
+    ) = !job.standing && age(job) < minOf(seconds, (startWithin[job.spec.jobClass] ?: Double.MAX_VALUE) / 2)
 
     /**
      * No task of the job was started for so long that it goes before all others. Without this bound a steady stream of
@@ -104,7 +104,7 @@
         end: Double,
     ): Int {
         var missed = 0
-        finishWithin[job.spec.menu]?.forEach { if (end > it) missed++ }
+        finishWithin[job.spec.jobClass]?.forEach { if (end > it) missed++ }
         val endsAt = job.readyAt / 1000.0 + end
         deadlines.latestEnds(job).forEach { if (endsAt > it) missed++ }
         return missed
--- a/src/main/kotlin/ledgearch/fleet/Reserve.kt
+++ b/src/main/kotlin/ledgearch/fleet/Reserve.kt
@@ -48,10 +48,10 @@
     private val arrivals = HashMap<String, Arrivals>()
 
     fun opened(job: Job) {
-        if (job.spec.menu !in withinS) return
+        if (job.spec.jobClass !in withinS) return
         // More than its team's limit never starts at once.
         val atOnce = minOf(job.spec.vcpus * job.spec.portions, limits[job.spec.team] ?: 0.0)
-        arrivals.getOrPut(job.spec.menu) { Arrivals(!job.spec.borrowed) }.let {
+        arrivals.getOrPut(job.spec.jobClass) { Arrivals(!job.spec.borrowed) }.let {
             it.fade(now.steady)
             it.add(atOnce)
         }
@@ -60,7 +60,7 @@
     fun startWithinS(
         job: Job,
         otherwise: Double,
-    ): Double = minOf(withinS[job.spec.menu] ?: otherwise, otherwise)
+    ): Double = minOf(withinS[job.spec.jobClass] ?: otherwise, otherwise)
 
     /**
      * Processors to keep free: what the classes that can't wait for a machine to boot are likely to bring within a
--- a/src/main/kotlin/ledgearch/intake/Submitted.kt
+++ b/src/main/kotlin/ledgearch/intake/Submitted.kt
@@ -30,7 +30,7 @@
         val request =
             WorkRequest(
                 ref = id,
-                menu = text("menu"),
+                jobClass = text("menu"),
                 team = text("crew"),
                 shape = text("shape"),
                 urgency = text("urgency"),
--- a/src/main/kotlin/ledgearch/recovery/RecoveryOrder.kt
+++ b/src/main/kotlin/ledgearch/recovery/RecoveryOrder.kt
@@ -17,7 +17,7 @@
         private val teams = group.teams.map(::NamePattern)
 
         fun matches(job: Job): Boolean {
-            val fitsClass = classes.isEmpty() || classes.any { it.matches(job.spec.menu) }
+            val fitsClass = classes.isEmpty() || classes.any { it.matches(job.spec.jobClass) }
             return fitsClass && (teams.isEmpty() || teams.any { it.matches(job.spec.team) })
         }
     }
@@ -36,7 +36,7 @@
     private val groupsFound = HashMap<Pair<String, String>, Int>()
 
     /** The place of the group of [job] in the order. */
-    fun groupOf(job: Job): Int = groupsFound.getOrPut(job.spec.menu to job.spec.team) { findGroup(job) }
+    fun groupOf(job: Job): Int = groupsFound.getOrPut(job.spec.jobClass to job.spec.team) { findGroup(job) }
 
     private fun findGroup(job: Job): Int {
         val index = matchers.indices.firstOrNull { it != defaultGroup && matchers[it].matches(job) }
--- a/src/main/kotlin/ledgearch/wire/Users.kt
+++ b/src/main/kotlin/ledgearch/wire/Users.kt
@@ -7,7 +7,7 @@
 @Serializable
 data class WorkRequest(
     val ref: String,
-    val menu: String,
+    @SerialName("menu") val jobClass: String,
     @SerialName("crew") val team: String,
     val shape: String,
     val urgency: String,
--- a/src/test/kotlin/ledgearch/MixedVersionsTest.kt
+++ b/src/test/kotlin/ledgearch/MixedVersionsTest.kt
@@ -189,7 +189,7 @@
         val FULL_REQUEST =
             WorkRequest(
                 ref = "job-1",
-                menu = "training",
+                jobClass = "training",
                 team = "red",
                 shape = Shapes.STANDING,
                 urgency = "urgent",
@@ -213,7 +213,7 @@
         val SHORT_REQUEST =
             WorkRequest(
                 ref = "job-2",
-                menu = "training",
+                jobClass = "training",
                 team = "red",
                 shape = Shapes.SWEEP,
                 urgency = "normal",
--- a/src/test/kotlin/ledgearch/simulation/ProductionWorkload.kt
+++ b/src/test/kotlin/ledgearch/simulation/ProductionWorkload.kt
@@ -117,7 +117,7 @@
     private fun array(awaits: List<String>) =
         WorkRequest(
             ref = newName(),
-            menu = "batch",
+            jobClass = "batch",
             team = if (random.nextBoolean()) "red" else "blue",
             shape = "sweep",
             urgency = listOf("urgent", "normal", "best_effort")[random.nextInt(3)],
--- a/src/test/kotlin/ledgearch/simulation/Submissions.kt
+++ b/src/test/kotlin/ledgearch/simulation/Submissions.kt
@@ -7,7 +7,7 @@
     val o = words.drop(1).associate { it.substringBefore('=') to it.substringAfter('=') }
     return WorkRequest(
         ref = words[0],
-        menu = o["class"] ?: "batch",
+        jobClass = o["class"] ?: "batch",
         team = o["team"] ?: "red",
         shape = if (o["standing"] == "yes") "standing" else "sweep",
         urgency = o["urgency"] ?: "normal",
