--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -177,7 +177,7 @@
             job.spec.vcpus,
             job.spec.team,
             job.spec.cookS,
-            job.spec.recipe,
+            job.spec.image,
             job.spec.sizeGb,
         )
         if (term == 0L) return
@@ -449,7 +449,7 @@
         m.attach(p)
         job.place(p)
         job.servedAt = now.wall
-        m.touchImage(job.spec.recipe, job.spec.sizeGb)
+        m.touchImage(job.spec.image, job.spec.sizeGb)
         dispatcher.want(m)
         log.debug("{} try {} starts on {}", p.task, attempt, m.name)
     }
--- a/src/main/kotlin/ledgearch/core/Replicas.kt
+++ b/src/main/kotlin/ledgearch/core/Replicas.kt
@@ -30,7 +30,7 @@
             val target =
                 rooms.entries.firstOrNull { (to, room) ->
                     settled && (anywhere || to.zone == m.zone) && to.allows(job) &&
-                        to.imageDistance(job.spec.recipe) == 0 &&
+                        to.imageDistance(job.spec.image) == 0 &&
                         room.fits(job)
                 }
             target?.value?.take(job)
--- a/src/main/kotlin/ledgearch/core/TaskStatusHandler.kt
+++ b/src/main/kotlin/ledgearch/core/TaskStatusHandler.kt
@@ -73,7 +73,7 @@
         val job = p.job
         when (entry.status) {
             PortionStates.FETCHING -> {
-                if (first && job != null) p.machine.touchImage(job.spec.recipe, job.spec.sizeGb)
+                if (first && job != null) p.machine.touchImage(job.spec.image, job.spec.sizeGb)
                 p.status = TaskStatus.FETCHING
             }
 
@@ -83,9 +83,9 @@
                     p.status = TaskStatus.RUNNING
                     log.debug("{} try {} runs on {}", p.task, p.attempt, p.machine.name)
                     if (job != null) {
-                        p.machine.touchImage(job.spec.recipe, job.spec.sizeGb)
+                        p.machine.touchImage(job.spec.image, job.spec.sizeGb)
                         // Hurried work goes where its image is.
-                        if (p.machine.fetched.add(job.spec.recipe)) changed()
+                        if (p.machine.fetched.add(job.spec.image)) changed()
                     }
                 }
             }
--- a/src/main/kotlin/ledgearch/core/placement/Placer.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Placer.kt
@@ -68,7 +68,7 @@
         if (open.isEmpty()) return
         val all = machines.values.filter { usable(it) }
         unplaceable.clear()
-        for (job in open) if (!job.standing && ranking.hurried(job)) hurriedImages.add(job.spec.recipe)
+        for (job in open) if (!job.standing && ranking.hurried(job)) hurriedImages.add(job.spec.image)
         val usable = withoutReserved(serveStarved(open, all), all)
         val running = jobs.filter { it.placements.isNotEmpty() }
         val waiting = ArrayList<Job>()
@@ -84,7 +84,7 @@
                     startIn(
                         job,
                         usable.filter {
-                            it.imageDistance(job.spec.recipe) == 0
+                            it.imageDistance(job.spec.image) == 0
                         },
                     )
                 } else {
@@ -227,7 +227,7 @@
         val pending = job.pendingCount
         return { c ->
             val m = c.machine
-            c.distance = m.imageDistance(job.spec.recipe)
+            c.distance = m.imageDistance(job.spec.image)
             if (job.standing) c.replicas = job.placements.values.count { it.machine === m }
             // A replica is up once its image is there; beside it, replicas keep apart as far as they can.
             c.image =
--- a/src/main/kotlin/ledgearch/core/placement/Preemption.kt
+++ b/src/main/kotlin/ledgearch/core/placement/Preemption.kt
@@ -100,7 +100,7 @@
         usable: List<Machine>,
         running: List<Job>,
     ): Map<Job, Int> {
-        val prospects = usable.filter { m -> hurried.any { m.imageDistance(it.spec.recipe) == 0 } }.map { Prospect(it) }
+        val prospects = usable.filter { m -> hurried.any { m.imageDistance(it.spec.image) == 0 } }.map { Prospect(it) }
         return claim(hurried, prospects, running, sparing = true)
     }
 
@@ -122,7 +122,7 @@
         val unplaceable = HashMap<List<Any>, UnplaceableSizes>()
         val allZones = prospects.mapTo(HashSet()) { it.machine.zone }
         for (job in waiting) {
-            val places = if (sparing) prospects.filter { it.machine.imageDistance(job.spec.recipe) == 0 } else prospects
+            val places = if (sparing) prospects.filter { it.machine.imageDistance(job.spec.image) == 0 } else prospects
             val zones = Zones(job)
             val yielding by lazy(LazyThreadSafetyMode.NONE) {
                 yielding(job, if (running.any { mayYield(job, it) }) prospects else emptyList())
@@ -222,7 +222,7 @@
         }
 
         private fun addRoomy(p: Prospect) {
-            if (p.room.fits(job)) roomy.add(p.machine.imageDistance(job.spec.recipe) to p)
+            if (p.room.fits(job)) roomy.add(p.machine.imageDistance(job.spec.image) to p)
         }
 
         fun putBack(p: Prospect) {
@@ -270,7 +270,7 @@
             return Offer(
                 p,
                 victims.map { it.task },
-                victims.sumOf { it.cost } + p.machine.imageDistance(job.spec.recipe) * Tuning.WORTH_IMAGE,
+                victims.sumOf { it.cost } + p.machine.imageDistance(job.spec.image) * Tuning.WORTH_IMAGE,
             )
         }
     }
--- a/src/main/kotlin/ledgearch/intake/Submitted.kt
+++ b/src/main/kotlin/ledgearch/intake/Submitted.kt
@@ -43,7 +43,7 @@
                 samePlace = flag("samePlace"),
                 apart = flag("apart"),
                 borrowed = flag("borrowed"),
-                recipe = text("recipe"),
+                image = text("recipe"),
                 sizeGb = amount("sizeGb"),
                 cookS = amount("cookS"),
                 stirS = amount("stirS"),
--- a/src/main/kotlin/ledgearch/recovery/ZoneRecovery.kt
+++ b/src/main/kotlin/ledgearch/recovery/ZoneRecovery.kt
@@ -181,7 +181,7 @@
         job: Job,
     ): Boolean {
         if (m.heldBack && !mayUseHeldBack(job)) return false
-        return !isPaced(job) || m.imageDistance(job.spec.recipe) != NO_IMAGE || m.fetching < Tuning.RECOVERY_FETCHES
+        return !isPaced(job) || m.imageDistance(job.spec.image) != NO_IMAGE || m.fetching < Tuning.RECOVERY_FETCHES
     }
 
     override fun mayStart(job: Job): Boolean {
--- a/src/main/kotlin/ledgearch/wire/Users.kt
+++ b/src/main/kotlin/ledgearch/wire/Users.kt
@@ -20,7 +20,7 @@
     val samePlace: Boolean = false,
     val apart: Boolean = false,
     val borrowed: Boolean = false,
-    val recipe: String,
+    @SerialName("recipe") val image: String,
     val sizeGb: Double,
     val cookS: Double,
     val stirS: Double = 0.0,
--- a/src/test/kotlin/ledgearch/LossesTest.kt
+++ b/src/test/kotlin/ledgearch/LossesTest.kt
@@ -37,7 +37,7 @@
                     portions = 40,
                     vcpus = 2.0,
                     memoryGb = 1.0,
-                    recipe = "i",
+                    image = "i",
                     sizeGb = 1.0,
                     borrowed = true,
                     cookS = 20.0,
--- a/src/test/kotlin/ledgearch/MixedVersionsTest.kt
+++ b/src/test/kotlin/ledgearch/MixedVersionsTest.kt
@@ -202,7 +202,7 @@
                 samePlace = true,
                 apart = true,
                 borrowed = true,
-                recipe = "image-1",
+                image = "image-1",
                 sizeGb = 3.5,
                 cookS = 600.0,
                 stirS = 30.0,
@@ -220,7 +220,7 @@
                 portions = 1,
                 vcpus = 1.0,
                 memoryGb = 2.0,
-                recipe = "image-1",
+                image = "image-1",
                 sizeGb = 1.0,
                 cookS = 20.0,
             )
--- a/src/test/kotlin/ledgearch/simulation/ProductionWorkload.kt
+++ b/src/test/kotlin/ledgearch/simulation/ProductionWorkload.kt
@@ -125,7 +125,7 @@
             vcpus = 1.0 + random.nextInt(2),
             memoryGb = 1.0,
             borrowed = random.nextBoolean(),
-            recipe = "i",
+            image = "i",
             sizeGb = 0.3,
             cookS = 2.0 + random.nextInt(MOST_RUN_S),
             awaits = awaits.ifEmpty { null },
--- a/src/test/kotlin/ledgearch/simulation/Submissions.kt
+++ b/src/test/kotlin/ledgearch/simulation/Submissions.kt
@@ -19,7 +19,7 @@
         samePlace = o["together"] == "yes",
         apart = o["apart"] == "yes",
         borrowed = o["spot"] == "yes",
-        recipe = o["image"] ?: "i",
+        image = o["image"] ?: "i",
         sizeGb = o["gb"]?.toDouble() ?: 0.3,
         cookS = o["run"]?.toDouble() ?: 10.0,
         awaits = o["awaits"]?.split(','),
