--- a/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
@@ -104,7 +104,7 @@
                 endpoint = settings.outside.cloud,
                 rack = "r",
                 zone = "z",
-                shift = 1,
+                session = 1,
                 ticket = ++sequence,
                 token = token,
                 portions = tasks.values.toList(),
--- a/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
+++ b/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
@@ -159,7 +159,7 @@
                 OrdersRequest.serializer(),
                 OrdersRequest(election.token, m.sessionToName, list),
             )
-        val shift = m.shift
+        val session = m.session
         val ticket = m.ticket
         val sentAt = now.steady
         // Over a slow link answers are awaited for as long as the last one took and half as long again.
@@ -180,7 +180,7 @@
             // Numbers only grow, and this answer was made after the request: they have begun anew, and the worker with
             // them.
             if (answer != null && isHere(m) &&
-                (answer.shift < shift || (answer.shift == shift && answer.ticket <= ticket))
+                (answer.session < session || (answer.session == session && answer.ticket <= ticket))
             ) {
                 begunAnew(m)
             }
@@ -204,7 +204,7 @@
             now.steady + Tuning.PROBE_MS * (1 + (m.probesFailed - Tuning.PROBES).coerceIn(0, Tuning.MOST_PROBE_PAUSES))
         probesOpen++
         val sentAt = now.steady
-        val session = m.shift
+        val session = m.session
         direct(
             m,
             emptyList(),
@@ -221,7 +221,7 @@
                 return@direct
             }
             if (isHere(m)) heard(m, answer)
-            if (isHere(m) && !m.confirmed && m.shift != session) probe(m, again = true)
+            if (isHere(m) && !m.confirmed && m.session != session) probe(m, again = true)
         }
     }
 
--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -91,7 +91,7 @@
         ) {
             newSession(
                 it,
-                it.shift + 1,
+                it.session + 1,
             )
         }
 
@@ -290,7 +290,7 @@
         // carried out, its tasks are on it and must be stopped like any others.
         m.answeredAt = now.steady
         hear(m, report, isReport = true)
-        if (report.shift != m.shift || !ready) return emptyList()
+        if (report.session != m.session || !ready) return emptyList()
         // The orders are carried out or dropped before the worker's next report.
         val orders = dispatcher.orders(m)
         for (order in orders) {
@@ -304,8 +304,8 @@
     private fun isCopy(
         m: Machine,
         report: CheckIn,
-    ) = report.shift < m.shift || (
-        report.shift == m.shift &&
+    ) = report.session < m.session || (
+        report.session == m.session &&
             (
                 report.ticket < m.reportTicket ||
                     (report.ticket == m.reportTicket && now.steady - m.reportAt > Tuning.ANSWER_AWAITED_MS)
@@ -360,8 +360,8 @@
         report: CheckIn,
         isReport: Boolean,
     ) {
-        if (report.shift < m.shift) return
-        if (report.shift > m.shift) newSession(m, report.shift)
+        if (report.session < m.session) return
+        if (report.session > m.session) newSession(m, report.session)
         // The first word of a session: it began before, and has a whole lease from then on without any answer of ours.
         if (m.ticket == 0L) m.answeredAt = now.steady
         // Of a machine that has not confirmed the token, a report without it may be a copy as old as an earlier leader.
@@ -420,9 +420,9 @@
 
     private fun newSession(
         m: Machine,
-        shift: Long,
+        session: Long,
     ) {
-        if (m.shift != 0L &&
+        if (m.session != 0L &&
             m.placements.isNotEmpty()
         ) {
             log.info("machine {}: new session, {} tasks lost", m.name, m.placements.size)
@@ -430,7 +430,7 @@
         m.placements.values
             .toList()
             .forEach(tasks::gone)
-        m.shift = shift
+        m.session = session
         m.ticket = 0
         m.reportTicket = 0
         dirty = true
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -24,13 +24,13 @@
     /** The worker has confirmed the present leader's token: [placements] is all that can be on it. */
     var confirmed = false
         private set
-    var shift = 0L
+    var session = 0L
 
     /** The session that a replica of the last leader's state names, or 0: a first guess, which the worker answers. */
     var sessionHint = 0L
 
     /** The session that a command names: the one heard from the worker, or else the best guess. */
-    val sessionToName: Long get() = if (shift != 0L) shift else maxOf(sessionHint, 1L)
+    val sessionToName: Long get() = if (session != 0L) session else maxOf(sessionHint, 1L)
     var ticket = 0L
     var reportTicket = 0L
 
--- a/src/main/kotlin/ledgearch/standby/LeaderImage.kt
+++ b/src/main/kotlin/ledgearch/standby/LeaderImage.kt
@@ -24,7 +24,7 @@
         bytes = 0
         val records = HashMap<RecordKey, StreamRecord>()
         for (machine in leader.machines.values) {
-            if (machine.shift != 0L) add(records, imageOf(machine))
+            if (machine.session != 0L) add(records, imageOf(machine))
         }
         for ((jobClass, learnt) in leader.estimates.learnt()) {
             add(records, ClassRunTime(jobClass, learnt.logRatio, learnt.weight))
@@ -49,7 +49,7 @@
     private fun imageOf(machine: Machine) =
         MachineImage(
             machine.name,
-            machine.shift,
+            machine.session,
             machine.releasing,
             machine.placements.values.map { AttemptImage(it.task, it.attempt, it.status) },
             machine.images.map { (name, gigabytes) -> CachedImage(name, gigabytes, name in machine.fetched) },
--- a/src/main/kotlin/ledgearch/wire/Workers.kt
+++ b/src/main/kotlin/ledgearch/wire/Workers.kt
@@ -22,7 +22,7 @@
     val rack: String,
     @SerialName("hall") val zone: String,
     val borrowed: Boolean = false,
-    val shift: Long,
+    @SerialName("shift") val session: Long,
     val ticket: Long,
     @SerialName("baton")
     val token: Long = 0,
@@ -50,7 +50,7 @@
 data class OrdersRequest(
     @SerialName("baton")
     val token: Long,
-    val shift: Long,
+    @SerialName("shift") val session: Long,
     val orders: List<Order>,
 )
 
--- a/src/test/kotlin/ledgearch/simulation/WorkerStandIn.kt
+++ b/src/test/kotlin/ledgearch/simulation/WorkerStandIn.kt
@@ -30,7 +30,7 @@
     private val clock get() = simulation.clock
     val endpoint get() = simulation.endpointOf(name)
     val tasks = LinkedHashMap<Long, Task>()
-    var shift = 1L
+    var session = 1L
         private set
     private var ticket = 0L
 
@@ -75,7 +75,7 @@
     private fun newSession() {
         if (tasks.isNotEmpty()) simulation.notes.add("${clock.now} $name lease ended with ${tasks.size} tasks")
         tasks.clear()
-        shift++
+        session++
         lastAnswered = clock.now
         reportSeq++
         waitingSince = -1
@@ -85,7 +85,7 @@
     /** The machine ends and is back at once, with nothing on it and nothing remembered. */
     fun restart() {
         tasks.clear()
-        shift = 1
+        session = 1
         ticket = 0
         token = 0
         lastAnswered = clock.now
@@ -101,7 +101,7 @@
             type,
             zone,
             borrowed,
-            shift,
+            session,
             ++ticket,
             token,
             if (recallAt > 0) (recallAt - clock.now) / 1000.0 else null,
@@ -118,14 +118,14 @@
     private fun report() {
         val seq = ++reportSeq
         val sentAt = clock.now
-        val session = shift
+        val sessionThen = session
         waitingSince = sentAt
         lastReport = sentAt
         changed = false
         val node = simulation.nodes[target % simulation.nodes.size]
         val body = WireJson.encodeToString(CheckIn.serializer(), snapshot())
         simulation.sendReport(name, node.name, body) { reply ->
-            if (!alive || hanging || seq != reportSeq || session != shift) return@sendReport
+            if (!alive || hanging || seq != reportSeq || sessionThen != session) return@sendReport
             when (reply.status) {
                 200 -> {
                     waitingSince = -1
@@ -178,7 +178,7 @@
         }
         if (path == "/show") return answer(Reply(200, WireJson.encodeToString(CheckIn.serializer(), snapshot())))
         val request = WireJson.decodeFromString(OrdersRequest.serializer(), body.orEmpty())
-        val valid = request.token >= token && request.shift == shift
+        val valid = request.token >= token && request.session == session
         if (valid) {
             token = maxOf(token, request.token)
             request.orders.forEach(::execute)
@@ -218,13 +218,13 @@
             return exit(task, "error")
         }
         if (!simulation.rules.fits(this, task)) return exit(task, "full")
-        val session = shift
-        clock.after(simulation.fetchMs) { whenFree(task, session) { begin(task, session) } }
+        val sessionThen = session
+        clock.after(simulation.fetchMs) { whenFree(task, sessionThen) { begin(task, sessionThen) } }
     }
 
     private fun begin(
         task: Task,
-        session: Long,
+        sessionThen: Long,
     ) {
         if (simulation.rules.resultKept(task.portion)) return exit(task, "done")
         task.status = "running"
@@ -232,7 +232,7 @@
         simulation.rules.started(this, task)
         val run = simulation.runMs(task.portion) ?: return
         clock.after(run) {
-            whenFree(task, session) {
+            whenFree(task, sessionThen) {
                 simulation.rules.completed(task.portion)
                 exit(task, "done")
             }
@@ -241,11 +241,11 @@
 
     private fun whenFree(
         task: Task,
-        session: Long,
+        sessionThen: Long,
         action: () -> Unit,
     ) {
-        if (!alive || shift != session || tasks[task.attempt] !== task || task.status == "exited") return
-        if (hanging) clock.after(200) { whenFree(task, session, action) } else action()
+        if (!alive || session != sessionThen || tasks[task.attempt] !== task || task.status == "exited") return
+        if (hanging) clock.after(200) { whenFree(task, sessionThen, action) } else action()
     }
 
     private fun exit(
