--- a/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
+++ b/src/main/kotlin/ledgearch/cli/WarmUpServices.kt
@@ -105,7 +105,7 @@
                 rack = "r",
                 zone = "z",
                 session = 1,
-                ticket = ++sequence,
+                sequence = ++sequence,
                 token = token,
                 portions = tasks.values.toList(),
             )
--- a/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
+++ b/src/main/kotlin/ledgearch/core/CommandDispatcher.kt
@@ -67,7 +67,7 @@
         for (p in m.placements.values) {
             when {
                 p.exited -> {
-                    if (p.clearable && p.settled(m.reportTicket)) halts.add(Order(Verbs.CLEAR, p.task, p.attempt))
+                    if (p.clearable && p.settled(m.reportSequence)) halts.add(Order(Verbs.CLEAR, p.task, p.attempt))
                 }
 
                 p.stop != Stop.NONE -> {
@@ -160,7 +160,7 @@
                 OrdersRequest(election.token, m.sessionToName, list),
             )
         val session = m.session
-        val ticket = m.ticket
+        val sequence = m.sequence
         val sentAt = now.steady
         // Over a slow link answers are awaited for as long as the last one took and half as long again.
         transport.call(m.endpoint, "POST", "/orders", body, maxOf(timeoutMs, m.answerMs * 3 / 2)) { reply ->
@@ -180,7 +180,7 @@
             // Numbers only grow, and this answer was made after the request: they have begun anew, and the worker with
             // them.
             if (answer != null && isHere(m) &&
-                (answer.session < session || (answer.session == session && answer.ticket <= ticket))
+                (answer.session < session || (answer.session == session && answer.sequence <= sequence))
             ) {
                 begunAnew(m)
             }
--- a/src/main/kotlin/ledgearch/core/Leader.kt
+++ b/src/main/kotlin/ledgearch/core/Leader.kt
@@ -295,7 +295,7 @@
         val orders = dispatcher.orders(m)
         for (order in orders) {
             val p = if (order.verb == Verbs.START) m.placements.get(order.attempt) else null
-            if (p != null) p.sentInReplyTo = maxOf(p.sentInReplyTo, report.ticket)
+            if (p != null) p.sentInReplyTo = maxOf(p.sentInReplyTo, report.sequence)
         }
         return orders
     }
@@ -307,8 +307,8 @@
     ) = report.session < m.session || (
         report.session == m.session &&
             (
-                report.ticket < m.reportTicket ||
-                    (report.ticket == m.reportTicket && now.steady - m.reportAt > Tuning.ANSWER_AWAITED_MS)
+                report.sequence < m.reportSequence ||
+                    (report.sequence == m.reportSequence && now.steady - m.reportAt > Tuning.ANSWER_AWAITED_MS)
             )
     )
 
@@ -363,11 +363,11 @@
         if (report.session < m.session) return
         if (report.session > m.session) newSession(m, report.session)
         // The first word of a session: it began before, and has a whole lease from then on without any answer of ours.
-        if (m.ticket == 0L) m.answeredAt = now.steady
+        if (m.sequence == 0L) m.answeredAt = now.steady
         // Of a machine that has not confirmed the token, a report without it may be a copy as old as an earlier leader.
         val current = !isReport || m.confirmed || report.token >= term
-        if (isReport && report.ticket > m.reportTicket) {
-            m.reportTicket = report.ticket
+        if (isReport && report.sequence > m.reportSequence) {
+            m.reportSequence = report.sequence
             m.reportSentAfter = m.reportAt
             m.reportAt = now.steady
             if (current) {
@@ -375,8 +375,8 @@
                 m.reportedAt = now.steady
             }
         }
-        if (report.ticket <= m.ticket) return
-        m.ticket = report.ticket
+        if (report.sequence <= m.sequence) return
+        m.sequence = report.sequence
         if (current) m.heardAt = now.steady
         if (!m.pushBroken && m.confirmed) m.probesFailed = 0
         m.recallAt = if (report.recallS == null) 0 else now.steady + (report.recallS * 1000).toLong()
@@ -431,8 +431,8 @@
             .toList()
             .forEach(tasks::gone)
         m.session = session
-        m.ticket = 0
-        m.reportTicket = 0
+        m.sequence = 0
+        m.reportSequence = 0
         dirty = true
     }
 
--- a/src/main/kotlin/ledgearch/core/Machine.kt
+++ b/src/main/kotlin/ledgearch/core/Machine.kt
@@ -31,10 +31,10 @@
 
     /** The session that a command names: the one heard from the worker, or else the best guess. */
     val sessionToName: Long get() = if (session != 0L) session else maxOf(sessionHint, 1L)
-    var ticket = 0L
-    var reportTicket = 0L
+    var sequence = 0L
+    var reportSequence = 0L
 
-    /** Steady ms at which the report with that ticket first came. */
+    /** Steady ms at which the report with that number first came. */
     var reportAt = 0L
 
     /** Steady ms after which that report was sent: a worker sends the next one once the one before was answered. */
--- a/src/main/kotlin/ledgearch/core/Placement.kt
+++ b/src/main/kotlin/ledgearch/core/Placement.kt
@@ -39,11 +39,11 @@
     /** The worker has listed it. */
     var seen = false
 
-    /** Ticket of the last message of the worker that listed it. */
+    /** Sequence number of the last message of the worker that listed it. */
     var listedAt = 0L
     var runningSince = 0L
 
-    /** Ticket of the last report whose answer carried the start; such an answer is settled by any later report. */
+    /** Sequence number of the last report whose answer carried the start; any later report settles that answer. */
     var sentInReplyTo = 0L
 
     /** A direct command with the start is under way. */
@@ -65,5 +65,5 @@
     val clearable: Boolean get() = exited && (!done || job == null || job.closed || job.recorded.get(index))
 
     /** No start of this attempt is still on its way. Until then `clear` could let it start a second time. */
-    fun settled(lastReportTicket: Long): Boolean = !pushOpen && lostToken == 0L && lastReportTicket > sentInReplyTo
+    fun settled(lastReportSequence: Long): Boolean = !pushOpen && lostToken == 0L && lastReportSequence > sentInReplyTo
 }
--- a/src/main/kotlin/ledgearch/core/TaskStatusHandler.kt
+++ b/src/main/kotlin/ledgearch/core/TaskStatusHandler.kt
@@ -31,16 +31,16 @@
         for (entry in entries) {
             val known = m.placements.get(entry.attempt)
             val p = known ?: found(m, entry)
-            p.listedAt = m.ticket
+            p.listedAt = m.sequence
             update(p, entry)
             // Its worker may be reporting to an earlier leader still, so it is told directly.
             if (known == null && p.stop != Stop.NONE && !p.exited) want(m)
         }
-        if (m.placements.values.all { it.listedAt == m.ticket }) return
+        if (m.placements.values.all { it.listedAt == m.sequence }) return
         for (p in m.placements.values.toList()) {
-            if (p.listedAt == m.ticket) continue
+            if (p.listedAt == m.sequence) continue
             // A start that is still on its way may arrive yet; it is sent again until it shows.
-            if (p.seen || (p.stop != Stop.NONE && p.settled(m.reportTicket))) gone(p)
+            if (p.seen || (p.stop != Stop.NONE && p.settled(m.reportSequence))) gone(p)
         }
     }
 
--- a/src/main/kotlin/ledgearch/wire/Workers.kt
+++ b/src/main/kotlin/ledgearch/wire/Workers.kt
@@ -23,7 +23,7 @@
     @SerialName("hall") val zone: String,
     val borrowed: Boolean = false,
     @SerialName("shift") val session: Long,
-    val ticket: Long,
+    @SerialName("ticket") val sequence: Long,
     @SerialName("baton")
     val token: Long = 0,
     val recallS: Double? = null,
--- a/src/test/kotlin/ledgearch/simulation/WorkerStandIn.kt
+++ b/src/test/kotlin/ledgearch/simulation/WorkerStandIn.kt
@@ -32,7 +32,7 @@
     val tasks = LinkedHashMap<Long, Task>()
     var session = 1L
         private set
-    private var ticket = 0L
+    private var sequence = 0L
 
     /** The highest token of a leader that the worker has followed. */
     var token = 0L
@@ -86,7 +86,7 @@
     fun restart() {
         tasks.clear()
         session = 1
-        ticket = 0
+        sequence = 0
         token = 0
         lastAnswered = clock.now
         reportSeq++
@@ -102,7 +102,7 @@
             zone,
             borrowed,
             session,
-            ++ticket,
+            ++sequence,
             token,
             if (recallAt > 0) (recallAt - clock.now) / 1000.0 else null,
             tasks.values.filter { it.attempt !in hidden }.map(::reportOf),
