--- a/src/main/kotlin/ledgearch/fleet/Fleet.kt
+++ b/src/main/kotlin/ledgearch/fleet/Fleet.kt
@@ -18,10 +18,10 @@
 import ledgearch.state.TokenBucket
 import ledgearch.wire.Catalog
 import ledgearch.wire.ListedMachine
-import ledgearch.wire.Rack
-import ledgearch.wire.RentRequest
 import ledgearch.wire.MachineList
 import ledgearch.wire.MachineNames
+import ledgearch.wire.Rack
+import ledgearch.wire.RentRequest
 import ledgearch.wire.WireJson
 import org.slf4j.LoggerFactory
 
@@ -161,7 +161,8 @@
         releasing = true
         names.forEach { leader.machines[it]?.releaseSent = true }
         val token = election().token
-        call("POST", "/hosts/release", WireJson.encodeToString(MachineNames.serializer(), MachineNames(names))) { reply ->
+        val body = WireJson.encodeToString(MachineNames.serializer(), MachineNames(names))
+        call("POST", "/hosts/release", body) { reply ->
             if (election().token == 0L) return@call
             releasing = false
             if (reply.status != 200) {
--- a/src/test/kotlin/ledgearch/RecoveryMeasurement.kt
+++ b/src/test/kotlin/ledgearch/RecoveryMeasurement.kt
@@ -5,13 +5,13 @@
 import org.junit.jupiter.api.Test
 
 /**
- * What zone recovery changes, in simulated time; run by hand with `-Dtest=RecoveryMeasurement`. It asserts nothing about
- * speed.
+ * What zone recovery changes, in simulated time; run by hand with `-Dtest=RecoveryMeasurement`. It asserts nothing
+ * about speed.
  */
 internal class RecoveryMeasurement {
     @Test
     fun measure() {
-        println("measured | mode | lobby, slips, web, night whole after s | starts/s | fetches | replica restarts | rules")
+        println("measured | mode | lobby, slips, web, night whole after s | starts/s | fetches | restarts | rules")
         RecoveryMode.entries.forEach(::measure)
     }
 
--- a/src/test/kotlin/ledgearch/loopback/ZoneLossTest.kt
+++ b/src/test/kotlin/ledgearch/loopback/ZoneLossTest.kt
@@ -36,8 +36,14 @@
             cluster.await("zone b is back", STEP_LIMIT_MS) { zoneB(cluster)?.state in setOf("returning", "up") }
             cluster.await("all jobs run again", STEP_LIMIT_MS) { allRun(cluster) }
 
-            assertEquals(emptyList<String>(), cluster.simulation.call { cluster.simulation.rules.violations.toList() })
-            assertTrue(cluster.simulation.call { lobbyWasFirst(cluster) }, "the nightly work was whole before the lobby")
+            assertEquals(
+                emptyList<String>(),
+                cluster.simulation.call {
+                    cluster.simulation.rules.violations
+                        .toList()
+                },
+            )
+            assertTrue(cluster.simulation.call { lobbyWasFirst(cluster) }, "the nightly work was whole first")
         }
     }
 
--- a/src/test/kotlin/ledgearch/simulation/CloudStandIn.kt
+++ b/src/test/kotlin/ledgearch/simulation/CloudStandIn.kt
@@ -3,10 +3,10 @@
 import ledgearch.http.Reply
 import ledgearch.wire.Catalog
 import ledgearch.wire.ListedMachine
-import ledgearch.wire.Rack
-import ledgearch.wire.RentRequest
 import ledgearch.wire.MachineList
 import ledgearch.wire.MachineNames
+import ledgearch.wire.Rack
+import ledgearch.wire.RentRequest
 import ledgearch.wire.WireJson
 
 /** The cloud by its published protocol: one machine type in two zones. */
