Metrics and log lines that tell why questions get no answer

Operators reported that questions about accepted jobs got no answer for over a minute at about 4,000 machines, and nothing that a controller said could have told why. Added before any change of behaviour: each 503 to users counted by a typed reason, the result of the health check and its reason with a log line at each change, revision and age of the view, number and age of waiting polls, queued requests to the state service and the rates in force; the first three also in `ledgearch status`.

For the reproduction: users in the simulation who ask about every open job each 5 s with a limit of 2 s and repeat a failed question at the other controllers, a check that no accepted job has 75 s of failed questions once the faults are over, and a search file of 4,000 machines, 5 controllers and 3,000 open jobs.

--- a/src/main/kotlin/ledgearch/api/Cancellations.kt
+++ b/src/main/kotlin/ledgearch/api/Cancellations.kt
@@ -56,7 +56,9 @@
     fun onJobClosed(id: String) {
         nextWriteAtMs.remove(id)
         val cancellations = waiting.remove(id) ?: return
-        val response = jobStore.finalRecord(id)?.let { responses.ended(id, it) } ?: responses.unavailable()
+        val response =
+            jobStore.finalRecord(id)?.let { responses.ended(id, it) }
+                ?: responses.unavailable(UnavailableReason.FINAL_RECORD_MISSING)
         cancellations.forEach { it.respond(response) }
     }
 
@@ -97,7 +99,8 @@
     ) {
         jobStore.finalRecord(id)?.let { return cancellation.respond(responses.ended(id, it)) }
         val record =
-            decodeRecord(JobRecord.serializer(), stored.value) ?: return cancellation.respond(responses.unavailable())
+            decodeRecord(JobRecord.serializer(), stored.value)
+                ?: return cancellation.respond(responses.unavailable(UnavailableReason.UNREADABLE_RECORD))
         awaitEnd(id, cancellation)
         if (!record.cancelRequested) writeCancelRequest(record, stored.modRevision)
     }
@@ -105,7 +108,7 @@
     /** Rejects [cancellation] if it has timed out; returns whether it did. */
     private fun rejectIfExpired(cancellation: Cancellation): Boolean {
         if (clock.steadyMs - cancellation.receivedAtMs < ApiTuning.CANCELLATION_TIMEOUT_MS) return false
-        cancellation.respond(responses.unavailable())
+        cancellation.respond(responses.unavailable(UnavailableReason.CANCELLATION_TIMEOUT))
         return true
     }
 
@@ -115,7 +118,7 @@
         while (lists.hasNext()) {
             val (id, cancellations) = lists.next()
             if (jobStore.jobs[id]?.record?.cancelRequested != true) continue
-            cancellations.forEach { it.respond(responses.unavailable()) }
+            cancellations.forEach { it.respond(responses.unavailable(UnavailableReason.CANCELLATION_REFUSED)) }
             lists.remove()
         }
     }
@@ -144,7 +147,9 @@
             // The user repeats the request.
             TransactionResult.Refused, TransactionResult.TooLarge -> {
                 nextWriteAtMs.remove(id)
-                waiting.remove(id)?.forEach { it.respond(responses.unavailable()) }
+                waiting.remove(id)?.forEach {
+                    it.respond(responses.unavailable(UnavailableReason.CANCELLATION_REFUSED))
+                }
             }
 
             // The job has ended or another node has changed its record, and this node's job store is behind.
--- a/src/main/kotlin/ledgearch/api/JobLookup.kt
+++ b/src/main/kotlin/ledgearch/api/JobLookup.kt
@@ -44,14 +44,14 @@
         onAbsent: () -> Unit,
         onOpen: (KeyValue) -> Unit,
     ) {
-        if (isFull) return respond(responses.unavailable())
+        if (isFull) return respond(responses.unavailable(UnavailableReason.LOOKUPS_FULL))
         val done =
             countInFlight<JobReadResult> { result ->
                 when (result) {
                     is JobReadResult.Open -> onOpen(result.stored)
                     is JobReadResult.Ended -> respond(responses.ended(id, result.record))
                     JobReadResult.Absent -> onAbsent()
-                    JobReadResult.Unknown -> respond(responses.unavailable())
+                    JobReadResult.Unknown -> respond(responses.unavailable(UnavailableReason.LOOKUP_FAILED))
                 }
             }
         jobStore.recordReader.read(id, done)
@@ -69,7 +69,11 @@
         ?: unreplicatedJobResponse(id, stored)
 
     private fun replicatedJobResponse(job: Job) =
-        if (freshness.mayReportOpen(job)) responses.open(job) else responses.unavailable()
+        if (freshness.mayReportOpen(job)) {
+            responses.open(job)
+        } else {
+            responses.unavailable(UnavailableReason.DEPENDENCIES_STALE)
+        }
 
     /** Returns the response for an open job that is not in this node's job store yet. */
     private fun unreplicatedJobResponse(
@@ -77,7 +81,7 @@
         stored: KeyValue,
     ) = if (decodeRecord(JobRecord.serializer(), stored.value)?.spec?.dependsOn != null) {
         // It may have been accepted long after a dependency was cancelled, which only the job store shows.
-        responses.unavailable()
+        responses.unavailable(UnavailableReason.DEPENDENCIES_STALE)
     } else {
         responses.pending(id)
     }
--- a/src/main/kotlin/ledgearch/api/JobResponses.kt
+++ b/src/main/kotlin/ledgearch/api/JobResponses.kt
@@ -4,6 +4,7 @@
 import ledgearch.http.Response
 import ledgearch.model.Job
 import ledgearch.records.FinalRecord
+import ledgearch.runtime.Metrics
 import ledgearch.wire.ErrorBody
 import ledgearch.wire.JobState
 import ledgearch.wire.JobStatus
@@ -20,11 +21,12 @@
 
 /**
  * Builds the responses to requests about jobs; the callers decide whether the state that they report is up to date.
- * [retryAfterS] is the `Retry-After` of a 503 in seconds.
+ * [retryAfterS] is the `Retry-After` of a 503 in seconds; the [metrics] count each 503 by its reason.
  */
 internal class JobResponses(
     private val leadership: LeadershipView,
     private val retryAfterS: Int,
+    private val metrics: Metrics,
 ) {
     /** Returns a 201: the job [id] was accepted and is in [state]. */
     fun accepted(
@@ -58,8 +60,11 @@
     /** Returns a 404: the job was never accepted. */
     fun jobNotFound() = errorResponse(HttpStatus.NOT_FOUND, "no such job")
 
-    /** Returns a 503 with a `Retry-After`: the request can't be served now. */
-    fun unavailable() = Response(HttpStatus.UNAVAILABLE, UNAVAILABLE_BODY, retryAfterS)
+    /** Returns a 503 with a `Retry-After`: the request can't be served now, for [reason], which is counted. */
+    fun unavailable(reason: UnavailableReason): Response {
+        metrics.count("unavailable.${reason.label}")
+        return Response(HttpStatus.UNAVAILABLE, UNAVAILABLE_BODY, retryAfterS)
+    }
 
     private fun response(
         status: Int,
--- a/src/main/kotlin/ledgearch/api/Polls.kt
+++ b/src/main/kotlin/ledgearch/api/Polls.kt
@@ -27,6 +27,12 @@
     /** Steady-clock ms before which no transaction is sent. */
     private var retryAtMs = 0L
 
+    /** Number of polls that wait for a transaction. */
+    val waitingCount: Int get() = waiting.size
+
+    /** Age in ms of the oldest poll that waits for a transaction; 0 if there is none. */
+    val oldestWaitingMs: Long get() = waiting.firstOrNull()?.let { clock.steadyMs - it.receivedAtMs } ?: 0
+
     /** Adds a poll for the state of the job [id]. */
     fun add(
         id: String,
@@ -34,14 +40,16 @@
     ) {
         if (!Validation.isJobId(id)) return respond(responses.jobNotFound())
         jobStore.finalRecord(id)?.let { return respond(responses.ended(id, it)) }
-        if (waiting.size >= ApiTuning.MAX_PENDING_REQUESTS) return respond(responses.unavailable())
+        if (waiting.size >= ApiTuning.MAX_PENDING_REQUESTS) {
+            return respond(responses.unavailable(UnavailableReason.POLL_QUEUE_FULL))
+        }
         waiting.addLast(Poll(id, clock.steadyMs, respond))
     }
 
     /** Rejects the polls that have timed out. */
     fun rejectExpired() {
         while (waiting.isNotEmpty() && clock.steadyMs - waiting.first().receivedAtMs >= ApiTuning.POLL_TIMEOUT_MS) {
-            waiting.removeFirst().respond(responses.unavailable())
+            waiting.removeFirst().respond(responses.unavailable(UnavailableReason.POLL_TIMEOUT))
         }
     }
 
@@ -92,7 +100,7 @@
             }
 
             TransactionResult.Refused, TransactionResult.TooLarge, TransactionResult.LeaseExpired -> {
-                batch.polls.forEach { it.respond(responses.unavailable()) }
+                batch.polls.forEach { it.respond(responses.unavailable(UnavailableReason.POLL_REFUSED)) }
             }
 
             TransactionResult.Unknown -> {
@@ -107,16 +115,28 @@
         val finalRecord = jobStore.finalRecord(poll.id)
         val job = jobStore.jobs[poll.id]
         when {
-            finalRecord != null -> poll.respond(responses.ended(poll.id, finalRecord))
+            finalRecord != null -> {
+                poll.respond(responses.ended(poll.id, finalRecord))
+            }
 
-            job != null && !freshness.mayReportOpen(job) -> waiting.addFirst(poll)
+            job != null && !freshness.mayReportOpen(job) -> {
+                waiting.addFirst(poll)
+            }
 
-            job != null -> poll.respond(responses.open(job))
+            job != null -> {
+                poll.respond(responses.open(job))
+            }
 
             // The job has ended since, and this node has not cached its final record.
-            poll.expectsOpen -> lookup.respondWithState(poll.id, poll.respond) { poll.respond(responses.unavailable()) }
+            poll.expectsOpen -> {
+                lookup.respondWithState(poll.id, poll.respond) {
+                    poll.respond(responses.unavailable(UnavailableReason.FINAL_RECORD_MISSING))
+                }
+            }
 
-            else -> poll.respond(responses.jobNotFound())
+            else -> {
+                poll.respond(responses.jobNotFound())
+            }
         }
     }
 
--- a/src/main/kotlin/ledgearch/api/SubmissionQueue.kt
+++ b/src/main/kotlin/ledgearch/api/SubmissionQueue.kt
@@ -76,7 +76,7 @@
             val submission = submissions.next()
             if (clock.steadyMs - submission.queuedAtMs < ApiTuning.SUBMISSION_TIMEOUT_MS) continue
             submissions.remove()
-            submission.respondToAll(responses.unavailable())
+            submission.respondToAll(responses.unavailable(UnavailableReason.SUBMISSION_TIMEOUT))
         }
     }
 
@@ -123,7 +123,7 @@
             }
 
             Admission.STALE -> {
-                reject(submission)
+                reject(submission, UnavailableReason.DEPENDENCIES_STALE)
                 true
             }
         }
@@ -144,7 +144,7 @@
 
             // Not executed: the requests are rejected at once with a `Retry-After`.
             TransactionResult.Refused, TransactionResult.TooLarge, TransactionResult.LeaseExpired -> {
-                batch.submissions.forEach(::reject)
+                batch.submissions.forEach { reject(it, UnavailableReason.SUBMISSION_REFUSED) }
             }
 
             // The retry is harmless: if the transaction was committed, the conditions fail and the job is read.
@@ -191,12 +191,17 @@
         if (Keys.job(id) !in failedKeys && Keys.final(id) !in failedKeys) return
         waiting.remove(id, submission)
         for (respond in submission.initialRequests + submission.repeatedRequests) {
-            lookup.respondWithState(id, respond) { respond(responses.unavailable()) }
+            lookup.respondWithState(id, respond) {
+                respond(responses.unavailable(UnavailableReason.FINAL_RECORD_MISSING))
+            }
         }
     }
 
-    private fun reject(submission: Submission) {
+    private fun reject(
+        submission: Submission,
+        reason: UnavailableReason,
+    ) {
         waiting.remove(submission.id, submission)
-        submission.respondToAll(responses.unavailable())
+        submission.respondToAll(responses.unavailable(reason))
     }
 }
--- a/src/main/kotlin/ledgearch/api/Submissions.kt
+++ b/src/main/kotlin/ledgearch/api/Submissions.kt
@@ -76,7 +76,10 @@
         }
         if (queue.join(id, respond)) return
         // Without a catalog the feasibility can't be checked.
-        if (jobStore.machineTypes.isEmpty() || queue.isFull) return respond(responses.unavailable())
+        if (jobStore.machineTypes.isEmpty()) {
+            return respond(responses.unavailable(UnavailableReason.NO_MACHINE_TYPES))
+        }
+        if (queue.isFull) return respond(responses.unavailable(UnavailableReason.SUBMISSION_QUEUE_FULL))
         val infeasibility = infeasibilityOf(spec)
         when {
             infeasibility != null -> rejectUnlessAccepted(id, HttpStatus.UNPROCESSABLE, infeasibility.text, respond)
@@ -100,7 +103,7 @@
         dependencies: List<String>,
         respond: Respond,
     ) {
-        if (lookup.isFull) return respond(responses.unavailable())
+        if (lookup.isFull) return respond(responses.unavailable(UnavailableReason.LOOKUPS_FULL))
         dependencyCheck.check(dependencies, lookup.countInFlight { onDependenciesChecked(record, it, respond) })
     }
 
@@ -111,10 +114,21 @@
     ) {
         val reason =
             when (result) {
-                is DependencyCheckResult.AllAccepted -> return queue.add(record, respond, result.finalRecords)
-                is DependencyCheckResult.NeverAccepted -> "${result.id} was never accepted"
-                is DependencyCheckResult.IsService -> "${result.id} is a service, which is never done"
-                DependencyCheckResult.Unknown -> return respond(responses.unavailable())
+                is DependencyCheckResult.AllAccepted -> {
+                    return queue.add(record, respond, result.finalRecords)
+                }
+
+                is DependencyCheckResult.NeverAccepted -> {
+                    "${result.id} was never accepted"
+                }
+
+                is DependencyCheckResult.IsService -> {
+                    "${result.id} is a service, which is never done"
+                }
+
+                DependencyCheckResult.Unknown -> {
+                    return respond(responses.unavailable(UnavailableReason.LOOKUP_FAILED))
+                }
             }
         val error = "${SubmissionField.DEPENDS_ON}: $reason"
         rejectUnlessAccepted(record.spec.id, HttpStatus.UNPROCESSABLE, error, respond)
--- a/src/main/kotlin/ledgearch/api/UserApi.kt
+++ b/src/main/kotlin/ledgearch/api/UserApi.kt
@@ -6,6 +6,7 @@
 import ledgearch.jobs.JobStore
 import ledgearch.runtime.Clock
 import ledgearch.runtime.MS_PER_SECOND
+import ledgearch.runtime.Metrics
 import ledgearch.store.StoreClient
 
 /**
@@ -21,11 +22,12 @@
     storeClient: StoreClient,
     leadership: LeadershipView,
     clock: Clock,
+    metrics: Metrics,
 ) {
     private val deployment = settings.deployment
     private val maxViewAgeMs = (deployment.workers.maxCancelS * MS_PER_SECOND * ApiTuning.MAX_VIEW_AGE_SHARE).toLong()
     private val limits = SubmissionLimits(deployment.teams.associateBy { it.name }, deployment.state.safeValueBytes)
-    private val responses = JobResponses(leadership, settings.operator.retryAfterS)
+    private val responses = JobResponses(leadership, settings.operator.retryAfterS, metrics)
     private val freshness = DependencyFreshness(jobStore, clock, maxViewAgeMs)
     private val lookup = JobLookup(jobStore, freshness, responses)
     private val polls = Polls(jobStore, storeClient, clock, freshness, lookup, responses)
@@ -59,6 +61,12 @@
         }
     }
 
+    /** Number of polls that wait for their confirmation. */
+    val waitingPollCount: Int get() = polls.waitingCount
+
+    /** Age in ms of the oldest poll that waits for its confirmation; 0 if there is none. */
+    val oldestPollMs: Long get() = polls.oldestWaitingMs
+
     /** Called when the job [id] has ended. */
     fun onJobClosed(id: String) = cancellations.onJobClosed(id)
 
--- a/src/main/kotlin/ledgearch/cli/Daemon.kt
+++ b/src/main/kotlin/ledgearch/cli/Daemon.kt
@@ -50,7 +50,7 @@
     /** Response to users' requests while the queue is full. */
     private val overloadResponse =
         errorResponse(HttpStatus.UNAVAILABLE, "too many requests").copy(retryAfterS = settings.operator.retryAfterS)
-    private val requestHandler = OwnerRequestHandler(queue, overloadResponse)
+    private val requestHandler = OwnerRequestHandler(queue, overloadResponse, controller::recordOverload)
 
     /**
      * Starts the controller, which runs until the process ends; throws [IOException] if an address is in use. The
--- a/src/main/kotlin/ledgearch/cli/OwnerRequestHandler.kt
+++ b/src/main/kotlin/ledgearch/cli/OwnerRequestHandler.kt
@@ -5,10 +5,14 @@
 import ledgearch.http.Request
 import ledgearch.http.Response
 
-/** Passes incoming requests to the owner; responds with [overloadResponse] while the owner's queue is full. */
+/**
+ * Passes incoming requests to the owner. While the owner's queue is full, responds with [overloadResponse] and calls
+ * [onOverload].
+ */
 internal class OwnerRequestHandler(
     private val queue: OwnerQueue,
     private val overloadResponse: Response,
+    private val onOverload: () -> Unit,
 ) {
     /** Returns the owner's response to [request]; suspends until there is one. */
     suspend fun respond(request: Request): Response {
@@ -17,6 +21,7 @@
         if (request.path in PRIORITY_PATHS) {
             queue.put(command)
         } else if (!queue.offerUserRequest(command)) {
+            onOverload()
             return overloadResponse
         }
         return response.await()
--- a/src/main/kotlin/ledgearch/client/StatusText.kt
+++ b/src/main/kotlin/ledgearch/client/StatusText.kt
@@ -25,9 +25,18 @@
     }
 
     private fun detailLines(report: MetricsReport): List<String> =
-        report.standby?.let { listOf("  standby: ${standbyText(it)}") }.orEmpty() +
+        servingLines(report) + report.standby?.let { listOf("  standby: ${standbyText(it)}") }.orEmpty() +
             report.recovery?.let(::recoveryLines).orEmpty()
 
+    /** Returns the line on the controller's view and its waiting requests; none for a version that reports neither. */
+    private fun servingLines(report: MetricsReport): List<String> {
+        val view = report.view ?: return emptyList()
+        val age = if (view.ageMs < 0) "not read yet" else "${view.ageMs} ms old"
+        val polls = report.polls?.let { "${it.waiting} polls wait, the oldest for ${it.oldestMs} ms" }.orEmpty()
+        val limits = if (report.store?.lowerLimits == true) "lower rate limits" else "normal rate limits"
+        return listOf("  ${report.health}: view of revision ${view.revision} $age; $polls; $limits")
+    }
+
     private fun recoveryLines(report: RecoveryReport): List<String> {
         val displaced = report.displaced.entries.joinToString { (group, tasks) -> "$group $tasks" }
         return report.zones.map(::zoneLine) + "  displaced tasks waiting: ${displaced.ifEmpty { "none" }}"
--- a/src/main/kotlin/ledgearch/control/Controller.kt
+++ b/src/main/kotlin/ledgearch/control/Controller.kt
@@ -110,6 +110,9 @@
         queueLength: Int,
     ) = metrics.recordBatch(durationUs, queueLength)
 
+    /** Records that a user's request was rejected because the owner's queue was full. */
+    fun recordOverload() = metrics.count("unavailable.owner_queue_full")
+
     /** Returns whether the counts kept of machines, teams and jobs equal a recount; true unless this node leads. */
     fun hasConsistentCounts(): Boolean = !election.isLeader || leader.hasConsistentCounts()
 }
--- a/src/main/kotlin/ledgearch/control/ControllerComponents.kt
+++ b/src/main/kotlin/ledgearch/control/ControllerComponents.kt
@@ -89,7 +89,7 @@
         )
 
     /** Handles the users' requests about jobs. */
-    val userApi = UserApi(settings, jobStore, storeClient, ElectionView(), clock)
+    val userApi = UserApi(settings, jobStore, storeClient, ElectionView(), clock, metrics)
 
     /** The warm standby; null unless it is enabled in the operator settings. */
     val standby: WarmStandby? = createWarmStandby()
@@ -103,7 +103,18 @@
         RequestRouter(
             healthCheck,
             HeartbeatEndpoint(settings.node, election, jobStore, leader),
-            MetricsSource(settings.node, election, jobStore, leader, metrics, standby),
+            MetricsSource(
+                settings.node,
+                election,
+                jobStore,
+                leader,
+                metrics,
+                standby,
+                healthCheck,
+                userApi,
+                storeClient,
+                clock,
+            ),
             userApi,
             metrics,
             clock,
--- a/src/main/kotlin/ledgearch/control/MetricsSource.kt
+++ b/src/main/kotlin/ledgearch/control/MetricsSource.kt
@@ -1,10 +1,15 @@
 package ledgearch.control
 
+import ledgearch.api.UserApi
 import ledgearch.election.Election
 import ledgearch.jobs.JobStore
+import ledgearch.runtime.Clock
 import ledgearch.runtime.Metrics
 import ledgearch.standby.WarmStandby
 import ledgearch.status.MetricsReport
+import ledgearch.status.PollReport
+import ledgearch.status.ViewReport
+import ledgearch.store.StoreClient
 
 /** Gathers the metrics of this node for `GET /metrics`. */
 internal class MetricsSource(
@@ -14,6 +19,10 @@
     private val leader: Leader,
     private val metrics: Metrics,
     private val standby: WarmStandby?,
+    private val healthCheck: HealthCheck,
+    private val userApi: UserApi,
+    private val storeClient: StoreClient,
+    private val clock: Clock,
 ) {
     /** Returns the current metrics. */
     fun report() =
@@ -26,7 +35,24 @@
             owner = metrics.ownerLoad(),
             counters = metrics.counters(),
             latencyMs = metrics.latencies(),
+            health = healthCheck.state().label,
+            view = ViewReport(jobStore.isLoaded, jobStore.revision, viewAgeMs()),
+            polls = PollReport(userApi.waitingPollCount, userApi.oldestPollMs),
+            store = storeClient.report(),
             standby = standby?.report(election.isLeader),
             recovery = if (election.isLeader) leader.recovery?.report() else null,
         )
+
+    private fun viewAgeMs(): Long =
+        if (jobStore.completeAsOfMs <
+            0
+        ) {
+            UNKNOWN_AGE_MS
+        } else {
+            clock.steadyMs - jobStore.completeAsOfMs
+        }
+
+    private companion object {
+        const val UNKNOWN_AGE_MS = -1L
+    }
 }
--- a/src/main/kotlin/ledgearch/status/MetricsReport.kt
+++ b/src/main/kotlin/ledgearch/status/MetricsReport.kt
@@ -6,6 +6,7 @@
 import ledgearch.runtime.Distribution
 import ledgearch.runtime.OwnerLoad
 import ledgearch.standby.StandbyReport
+import ledgearch.store.StoreReport
 
 /** The response to `GET /metrics`. Counters and distributions cover the time since the process started. */
 @Serializable
@@ -26,8 +27,36 @@
     val counters: Map<String, Long>,
     /** Distributions of latencies by the kind of exchange. */
     @SerialName("latency_ms") val latencyMs: Map<String, Distribution>,
+    /** Result of the health check, such as `serving`. Null if the controller's version does not report it. */
+    val health: String? = null,
+    /** This node's view of the watched keys. Null if the controller's version does not report it. */
+    val view: ViewReport? = null,
+    /** The polls that wait. Null if the controller's version does not report it. */
+    val polls: PollReport? = null,
+    /** Requests to the state service. Null if the controller's version does not report it. */
+    val store: StoreReport? = null,
     /** State of warm standby; null if it is disabled. */
     val standby: StandbyReport? = null,
     /** State of zone recovery; null if it is disabled or the controller is not the leader. */
     val recovery: RecoveryReport? = null,
 )
+
+/** A node's replicated view of the watched keys. */
+@Serializable
+internal data class ViewReport(
+    /** Whether a listing has filled the view and the watch has not fallen behind since. */
+    val loaded: Boolean,
+    /** Revision up to which the view contains all changes. */
+    val revision: Long,
+    /** Age of the view in ms: the time since the last watch with a reply was sent. -1 before the first listing. */
+    @SerialName("age_ms") val ageMs: Long,
+)
+
+/** The polls that wait for their confirmation. */
+@Serializable
+internal data class PollReport(
+    /** Number of waiting polls. */
+    val waiting: Int,
+    /** Age of the oldest one in ms, or 0. */
+    @SerialName("oldest_ms") val oldestMs: Long,
+)
--- a/src/main/kotlin/ledgearch/store/RequestBudget.kt
+++ b/src/main/kotlin/ledgearch/store/RequestBudget.kt
@@ -19,7 +19,14 @@
     private var isLeader = false
 
     /** True if the announced lower rate limits appear to be in force. */
-    private var usesLowerLimits = false
+    var usesLowerLimits = false
+        private set
+
+    /** Requests per second that this node allows itself. */
+    val requestsPerS: Double get() = requests.permitsPerSecond
+
+    /** Changes per second that this node allows itself. */
+    val changesPerS: Double get() = changes.permitsPerSecond
 
     init {
         setShare(forLeader = false)
--- a/src/main/kotlin/ledgearch/store/RequestQueue.kt
+++ b/src/main/kotlin/ledgearch/store/RequestQueue.kt
@@ -46,6 +46,14 @@
         queues.getValue(requestClass).addLast(QueuedRequest(request, clock.steadyMs, done))
     }
 
+    /** Returns the waiting requests by the name of their class. */
+    fun report(): Map<String, QueueReport> =
+        queues
+            .filterValues { it.isNotEmpty() }
+            .map { (requestClass, queue) ->
+                requestClass.name.lowercase() to QueueReport(queue.size, clock.steadyMs - queue.first().queuedAtMs)
+            }.toMap()
+
     /** Sends as many requests as the budget allows. */
     fun sendAllowed() {
         budget.refill(clock.steadyMs)
--- a/src/main/kotlin/ledgearch/store/StoreClient.kt
+++ b/src/main/kotlin/ledgearch/store/StoreClient.kt
@@ -102,6 +102,10 @@
         done(StoreReplies.read(reply, WatchReply.serializer()))
     }
 
+    /** Returns the queued requests and the rates in force. */
+    fun report() =
+        StoreReport(isRefused, budget.usesLowerLimits, budget.requestsPerS, budget.changesPerS, queue.report())
+
     /** Sends as many queued requests as the budget allows; called after every batch of commands and on every tick. */
     fun sendAllowed() = queue.sendAllowed()
 }
--- a/src/test/kotlin/ledgearch/simulation/invariants/InvariantChecker.kt
+++ b/src/test/kotlin/ledgearch/simulation/invariants/InvariantChecker.kt
@@ -34,6 +34,8 @@
     private val placementInvariants = PlacementInvariants(simulation, submittedJobs, ::reportViolation)
     private val starvationInvariant = StarvationInvariant(simulation, this, dependencyInvariants, ::reportViolation)
 
+    /** Checks that no accepted job is left without answers. */
+    val unansweredJobs = UnansweredJobs(::reportViolation)
     private val audit = ExecutionAudit(Simulation.CANCEL_MS, ::reportViolation)
     val auditSampler = AuditSampler(simulation, audit)
 
@@ -62,7 +64,7 @@
             val dependents = submittedJobs.values.count { !it.dependsOn.isNullOrEmpty() }
             return "${accepted.size} jobs accepted, ${doneAtMs.size} done, ${cancelledAtMs.size} cancelled, " +
                 "$dependents with dependencies, ${startCounts.values.sum()} starts, " +
-                "$termCount terms, ${simulation.workers.size} machines"
+                "$termCount terms, ${simulation.workers.size} machines, ${unansweredJobs.summary}"
         }
 
     // --- Jobs --------------------------------------------------------------------------------------------------------
--- a/src/test/kotlin/ledgearch/simulation/scenarios/ProductionWorkload.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/ProductionWorkload.kt
@@ -24,6 +24,9 @@
     private val arrays = ArrayList<String>()
     private val usedNumbers = HashSet<Int>()
 
+    /** The last array of [submitLong] that has no dependencies. */
+    private var lastLongArray: String? = null
+
     /** Adds [count] jobs that ended before the simulation began. The state service holds their final records. */
     fun addPastJobs(
         count: Int,
@@ -41,6 +44,21 @@
         everyMs: Long,
     ) = repeat(count) { i -> clock.after(i * everyMs) { submitGroup() } }
 
+    /** Submits [count] jobs that stay open for minutes, one every [everyMs]: arrays, chains of two and services. */
+    fun submitLong(
+        count: Int,
+        everyMs: Long,
+    ) = repeat(count) { i -> clock.after(i * everyMs) { submitLongJob() } }
+
+    private fun submitLongJob() {
+        val spec = arraySpec(emptyList()).copy(taskCount = 1, vcpus = 1.0, estimatedRunTimeS = LONG_RUN_S)
+        when (random.nextInt(LONG_KINDS)) {
+            0 -> users.submit(spec.copy(kind = JobKind.SERVICE, priority = Priority.PRODUCTION))
+            1 -> users.submit(spec.copy(dependsOn = lastLongArray?.let(::listOf)))
+            else -> users.submit(spec.also { lastLongArray = it.id })
+        }
+    }
+
     /** Polls every accepted job that no reply has reported as ended, once in each [everyMs]. */
     fun pollOpen(everyMs: Long) {
         val openJobs = simulation.invariants.acceptedJobs.filter { !simulation.invariants.isObservedEnded(it) }
@@ -157,6 +175,12 @@
         const val MAX_DELAY_MS = 90_000L
         const val CANCELLED_PERCENT = 10
 
+        /** Longer than the scenarios that need open jobs throughout. */
+        const val LONG_RUN_S = 3_600.0
+
+        /** One of this number of long jobs is a service, another one waits for an earlier array. */
+        const val LONG_KINDS = 4
+
         /** Number of arrays, added last, that a new job may depend on. */
         const val RECENT_JOBS = 300
     }
