Questions no longer wait behind writes that the budget does not allow

Callers saw: with lowered limits of the state service and more submissions and job ends than they allow, nearly every question about an accepted job got a 503 or an answer after its 2 s, at every controller, for as long as the load lasted.

Cause: requests to the state service waited in two queues, and the first one that the budget refused held back all behind it, also those that needed nothing of what was short. A write that waits for the limit on changes held back the transactions that confirm polls, which change nothing; a follower of five with 20 changes a second may make 2.2 a second, so a write of 16 changes kept it for its whole timeout, and the next one followed at once. A watch, repeated without end while other jobs change, came before all ordinary requests, and a write of the leadership record held back the renewal of its lease. Users' retries kept the queues full, so it outlasted the cause.

Why this works: a request waits only for what it needs itself and for others of its own lane. Changes are left to a waiting write of the leadership record. While the budget does not allow all that waits, watches, comparisons, reads and writes take turns, so none of them is passed over for ever; while it does, the order is as before. What confirms a poll is unchanged.

--- a/src/main/kotlin/ledgearch/store/RequestBudget.kt
+++ b/src/main/kotlin/ledgearch/store/RequestBudget.kt
@@ -55,8 +55,11 @@
         changes.refill(nowMs)
     }
 
-    /** Returns whether one request with [changeCount] changes may be sent now. */
-    fun allows(changeCount: Int): Boolean = requests.hasPermits(1) && changes.hasPermits(changeCount)
+    /** Returns whether [count] requests may be sent now. */
+    fun allowsRequests(count: Int): Boolean = requests.hasPermits(count)
+
+    /** Returns whether [changeCount] changes may be made now. */
+    fun allowsChanges(changeCount: Int): Boolean = changeCount == 0 || changes.hasPermits(changeCount)
 
     /** Takes the permits for one request with [changeCount] changes. */
     fun spend(changeCount: Int) {
--- a/src/main/kotlin/ledgearch/store/RequestQueue.kt
+++ b/src/main/kotlin/ledgearch/store/RequestQueue.kt
@@ -5,8 +5,11 @@
 import ledgearch.runtime.Transport
 
 /**
- * Queues requests until this node's budget allows them, critical ones first. Requests that have waited too long are
- * refused, and so are ordinary ones while the service refuses this node.
+ * Queues requests until this node's budget allows them: critical ones and watches first, in the order of their arrival.
+ * While the budget does not allow all of them, watches and the other lanes take turns. A request waits only for what it
+ * needs itself and for requests of its own lane: one that waits for the limit on changes does not hold back those that
+ * change nothing. Requests that have waited too long are refused, and so are ordinary ones while the service refuses
+ * this node.
  */
 internal class RequestQueue(
     private val address: String,
@@ -18,10 +21,18 @@
         val request: StoreRequest,
         /** Steady-clock time. */
         val queuedAtMs: Long,
+        /** Rises with every request. */
+        val sequence: Long,
         val done: (Reply) -> Unit,
     )
 
-    private val queues = RequestClass.entries.associateWith { ArrayDeque<QueuedRequest>() }
+    private val queues = RequestLane.entries.associateWith { ArrayDeque<QueuedRequest>() }
+
+    /** Number of requests queued so far. */
+    private var queuedCount = 0L
+
+    /** The lane that is not critical and was served last. */
+    private var lastSharedLane = SHARED_LANES.last()
 
     /** The steady-clock time until which ordinary requests wait because a rate limit was exceeded. */
     private var pausedUntilMs = Long.MIN_VALUE
@@ -43,51 +54,79 @@
         request: StoreRequest,
         done: (Reply) -> Unit,
     ) {
-        queues.getValue(requestClass).addLast(QueuedRequest(request, clock.steadyMs, done))
+        val lane = RequestLane.of(requestClass, request.kind)
+        queues.getValue(lane).addLast(QueuedRequest(request, clock.steadyMs, queuedCount++, done))
     }
 
-    /** Returns the waiting requests by the name of their class. */
+    /** Returns the waiting requests by the name of their lane. */
     fun report(): Map<String, QueueReport> =
         queues
             .filterValues { it.isNotEmpty() }
-            .map { (requestClass, queue) ->
-                requestClass.name.lowercase() to QueueReport(queue.size, clock.steadyMs - queue.first().queuedAtMs)
+            .map { (lane, queue) ->
+                lane.name.lowercase() to QueueReport(queue.size, clock.steadyMs - queue.first().queuedAtMs)
             }.toMap()
 
     /** Sends as many requests as the budget allows. */
     fun sendAllowed() {
         budget.refill(clock.steadyMs)
-        for ((requestClass, queue) in queues) {
-            while (queue.isNotEmpty()) {
-                if (!sendOrRefuseFirst(requestClass, queue)) return
-            }
+        RequestLane.entries.forEach(::refuseHopeless)
+        while (budget.allowsRequests(1)) {
+            val lane = nextLane() ?: return
+            send(queues.getValue(lane).removeFirst())
+            if (!lane.isCritical) lastSharedLane = lane
         }
     }
 
-    /** Sends or refuses the first request in [queue]; returns false if it and all later requests have to wait. */
-    private fun sendOrRefuseFirst(
-        requestClass: RequestClass,
-        queue: ArrayDeque<QueuedRequest>,
-    ): Boolean {
-        val first = queue.first()
-        val isOrdinary = requestClass != RequestClass.CRITICAL
-        if (clock.steadyMs - first.queuedAtMs > StoreTuning.REQUEST_TIMEOUT_MS) {
-            queue.removeFirst()
-            first.done(Reply(StoreStatus.TOO_MANY_REQUESTS, ""))
-            return true
+    /** Refuses the requests of [lane] that have waited too long or that the service would refuse. */
+    private fun refuseHopeless(lane: RequestLane) {
+        val queue = queues.getValue(lane)
+        while (queue.isNotEmpty()) {
+            val status = refusalStatus(lane, queue.first()) ?: return
+            queue.removeFirst().done(Reply(status, ""))
         }
-        // While the service refuses this node, ordinary requests fail at once. The budget is left to the critical
-        // requests, which detect the end of the refusals.
-        if (isOrdinary && isRefused && clock.steadyMs < refusedUntilMs) {
-            queue.removeFirst()
-            first.done(Reply(StoreStatus.UNAVAILABLE, ""))
-            return true
+    }
+
+    /** Returns the status with which [queued] is refused, or null if it may still be sent. */
+    private fun refusalStatus(
+        lane: RequestLane,
+        queued: QueuedRequest,
+    ): Int? =
+        when {
+            clock.steadyMs - queued.queuedAtMs > StoreTuning.REQUEST_TIMEOUT_MS -> StoreStatus.TOO_MANY_REQUESTS
+
+            // While the service refuses this node, ordinary requests fail at once. The budget is left to the others,
+            // which detect the end of the refusals.
+            lane.isOrdinary && isRefused && clock.steadyMs < refusedUntilMs -> StoreStatus.UNAVAILABLE
+
+            else -> null
         }
-        if (isOrdinary && clock.steadyMs < pausedUntilMs) return false
-        if (!budget.allows(first.request.changeCount)) return false
-        queue.removeFirst()
-        send(first)
-        return true
+
+    /** Returns the lane whose first request is sent next, or null if none may be sent. */
+    private fun nextLane(): RequestLane? {
+        val sendable = RequestLane.entries.filter(::canSend)
+        val inTurn = if (isBudgetScarce()) sharedLanesInTurn().firstOrNull { it in sendable } else null
+        val prior = sendable.filter { it.isCritical || (it == RequestLane.WATCH && (inTurn ?: it) == it) }
+        return earliest(prior) ?: inTurn ?: earliest(sendable)
+    }
+
+    /** Returns whether the budget does not allow all waiting requests now. */
+    private fun isBudgetScarce() = !budget.allowsRequests(queues.values.sumOf { it.size })
+
+    /** Returns the lanes that are not critical, beginning after the one that was served last. */
+    private fun sharedLanesInTurn(): List<RequestLane> {
+        val position = SHARED_LANES.indexOf(lastSharedLane) + 1
+        return SHARED_LANES.drop(position) + SHARED_LANES.take(position)
+    }
+
+    /** Returns the one of [lanes] whose first request was queued first, or null if there are no lanes. */
+    private fun earliest(lanes: List<RequestLane>) = lanes.minByOrNull { queues.getValue(it).first().sequence }
+
+    private fun canSend(lane: RequestLane): Boolean {
+        val first = queues.getValue(lane).firstOrNull() ?: return false
+        if (lane.isOrdinary && clock.steadyMs < pausedUntilMs) return false
+        // Changes are left to a critical write that waits for them.
+        if (lane == RequestLane.WRITE && queues.getValue(RequestLane.CRITICAL_WRITE).isNotEmpty()) return false
+        return budget.allowsChanges(first.request.changeCount)
     }
 
     private fun send(queued: QueuedRequest) {
@@ -125,4 +164,8 @@
             }
         }
     }
+
+    private companion object {
+        val SHARED_LANES = RequestLane.entries.filterNot { it.isCritical }
+    }
 }
--- a/src/main/kotlin/ledgearch/store/StoreRequest.kt
+++ b/src/main/kotlin/ledgearch/store/StoreRequest.kt
@@ -7,14 +7,15 @@
 import ledgearch.wire.WireJson
 
 /**
- * An HTTP request to the state service. [timeoutMs] is the time to wait for the reply, and [changeCount] the number of
- * changes that count against the limit on changes per second.
+ * An HTTP request to the state service. [timeoutMs] is the time to wait for the reply, [kind] what it does, and
+ * [changeCount] the number of changes that count against the limit on changes per second.
  */
 internal class StoreRequest private constructor(
     val method: String,
     val target: String,
     val body: String?,
     val timeoutMs: Long,
+    val kind: StoreRequestKind,
     val changeCount: Int = 0,
 ) {
     companion object {
@@ -27,13 +28,23 @@
             changes: List<Change>,
         ): StoreRequest {
             val body = WireJson.encodeToString(Transaction.serializer(), Transaction(conditions, changes))
-            val timeoutMs =
-                if (changes.isEmpty()) StoreTuning.COMPARE_TIMEOUT_MS else StoreTuning.TRANSACTION_TIMEOUT_MS
-            return StoreRequest(POST, "/txn", body, timeoutMs, changes.size)
+            return if (changes.isEmpty()) {
+                StoreRequest(POST, "/txn", body, StoreTuning.COMPARE_TIMEOUT_MS, StoreRequestKind.COMPARE)
+            } else {
+                StoreRequest(
+                    POST,
+                    "/txn",
+                    body,
+                    StoreTuning.TRANSACTION_TIMEOUT_MS,
+                    StoreRequestKind.WRITE,
+                    changes.size,
+                )
+            }
         }
 
         /** Creates a request to read [key]. */
-        fun get(key: String) = StoreRequest(GET, "/keys/$key", null, StoreTuning.REQUEST_TIMEOUT_MS)
+        fun get(key: String) =
+            StoreRequest(GET, "/keys/$key", null, StoreTuning.REQUEST_TIMEOUT_MS, StoreRequestKind.READ)
 
         /** Creates a request for a page of the keys under [prefix] after [afterKey] or, if null, from the first. */
         fun list(
@@ -42,18 +53,24 @@
         ): StoreRequest {
             val since = if (afterKey == null) "" else "&since=$afterKey"
             val target = "/keys?under=$prefix$since&limit=${StoreTuning.KEYS_PER_PAGE}"
-            return StoreRequest(GET, target, null, StoreTuning.PAGE_TIMEOUT_MS)
+            return StoreRequest(GET, target, null, StoreTuning.PAGE_TIMEOUT_MS, StoreRequestKind.READ)
         }
 
         /** Creates a request to open a lease. */
         fun openLease(): StoreRequest {
             val body = WireJson.encodeToString(LeaseRequest.serializer(), LeaseRequest(StoreTuning.LEADER_LEASE_TTL_MS))
-            return StoreRequest(POST, "/leases", body, StoreTuning.REQUEST_TIMEOUT_MS)
+            return StoreRequest(POST, "/leases", body, StoreTuning.REQUEST_TIMEOUT_MS, StoreRequestKind.LEASE)
         }
 
         /** Creates a request to renew the lease [leaseId]. */
         fun keepAlive(leaseId: Long) =
-            StoreRequest(POST, "/leases/$leaseId/touch", "{}", StoreTuning.REQUEST_TIMEOUT_MS)
+            StoreRequest(
+                POST,
+                "/leases/$leaseId/touch",
+                "{}",
+                StoreTuning.REQUEST_TIMEOUT_MS,
+                StoreRequestKind.LEASE,
+            )
 
         /** Creates a request to wait for changes of the keys under [prefix] after [revision]. */
         fun watch(
@@ -61,7 +78,8 @@
             revision: Long,
         ): StoreRequest {
             val target = "/changes?under=$prefix&since=$revision&blockMs=${StoreTuning.WATCH_BLOCK_MS}"
-            return StoreRequest(GET, target, null, StoreTuning.WATCH_BLOCK_MS + StoreTuning.WATCH_REPLY_GRACE_MS)
+            val timeoutMs = StoreTuning.WATCH_BLOCK_MS + StoreTuning.WATCH_REPLY_GRACE_MS
+            return StoreRequest(GET, target, null, timeoutMs, StoreRequestKind.WATCH)
         }
     }
 }
