Questions beyond what one transaction compares are answered from the watch

Callers saw: with more open jobs than the transactions that compare revisions can confirm in the time that users wait, most questions got a 503, and users' retries at the other controllers kept it so.

Cause: one comparing transaction at a time, of four conditions for each change that the state service allows in one, sent as the budget allows it, was the only way to confirm a poll. The rate of answers was bounded by limits that do not grow with the number of jobs.

Why this works: a watch that was sent after a poll arrived and has a reply shows all changes up to that reply, so this node's view of every open job is confirmed then as by a comparison, at no further request. Where polls exceed a transaction, the next watch waits 250 ms in place of 2 s. The invariant is as before: what an answer is based on was read after the request arrived, or is final. Jobs that are not in the view and jobs whose dependencies are not fresh take the same way as before.

--- a/src/main/kotlin/ledgearch/api/Polls.kt
+++ b/src/main/kotlin/ledgearch/api/Polls.kt
@@ -9,9 +9,9 @@
 import ledgearch.store.TransactionResult
 
 /**
- * Handles polls for the state of jobs. A poll for a job that has not ended gets a response only after a transaction
- * that was sent after the poll arrived has confirmed the revision in this node's view. One transaction compares the
- * revisions of many polled jobs.
+ * Handles polls for the state of jobs. A poll for a job that has not ended gets a response only after a request that
+ * was sent after the poll arrived has confirmed this node's view of the job: a transaction that compares the revisions
+ * of many polled jobs, or a watch, which confirms all open jobs.
  */
 internal class Polls(
     private val jobStore: JobStore,
@@ -53,8 +53,13 @@
         }
     }
 
-    /** Sends a transaction that compares the polled jobs, unless one is in flight or a retry must wait. */
+    /**
+     * Responds to the polls that this node's view confirms, then sends a transaction that compares the other polled
+     * jobs, unless one is in flight or a retry must wait.
+     */
     fun sendIfDue() {
+        respondFromView()
+        if (waiting.size > storeClient.maxConditions) jobStore.refreshSoon()
         if (isTransactionInFlight || waiting.isEmpty() || clock.steadyMs < retryAtMs) return
         val batch = nextBatch()
         if (batch.polls.isEmpty()) return
@@ -65,6 +70,23 @@
         }
     }
 
+    /**
+     * Responds to the polls for open jobs that arrived before the request was sent that brought this node's view up to
+     * date.
+     */
+    private fun respondFromView() {
+        if (!jobStore.isLoaded) return
+        val polls = waiting.iterator()
+        while (polls.hasNext()) {
+            val poll = polls.next()
+            if (poll.receivedAtMs >= jobStore.completeAsOfMs) return
+            val job = jobStore.jobs[poll.id] ?: continue
+            if (!freshness.mayReportOpen(job)) continue
+            polls.remove()
+            poll.respond(responses.open(job))
+        }
+    }
+
     private fun nextBatch(): PollBatch {
         val batch = PollBatch(storeClient.maxConditions)
         val deferred = ArrayList<Poll>()
--- a/src/main/kotlin/ledgearch/jobs/JobStore.kt
+++ b/src/main/kotlin/ledgearch/jobs/JobStore.kt
@@ -35,6 +35,9 @@
     private var isRequestPending = false
     private var retryAtMs = Long.MIN_VALUE
 
+    /** Whether the next watch is to end soon. */
+    private var isRefreshRequested = false
+
     /** The open jobs by id, in the order in which this node learned of them. Other classes must not modify it. */
     val jobs: LinkedHashMap<String, Job> = openJobs.byId
 
@@ -104,6 +107,11 @@
         modRevision: Long,
     ) = modRevision <= revision && id !in jobs
 
+    /** Makes the next watch end soon even without a change, so that it shows that the view is complete. */
+    fun refreshSoon() {
+        isRefreshRequested = true
+    }
+
     /** Reads due final records of dependencies and starts the listing or the next watch unless one is pending. */
     fun runDueWork() {
         dependencies.runDueWork()
@@ -143,7 +151,9 @@
 
     private fun watch() {
         val sentAtMs = clock.steadyMs
-        storeClient.watch(Keys.WATCHED, revision) { result ->
+        val blockMs = if (isRefreshRequested) StoreTuning.SHORT_WATCH_BLOCK_MS else StoreTuning.WATCH_BLOCK_MS
+        isRefreshRequested = false
+        storeClient.watch(Keys.WATCHED, revision, blockMs) { result ->
             onRequestEnded()
             when (result) {
                 is ReadResult.Found -> {
--- a/src/main/kotlin/ledgearch/store/StoreClient.kt
+++ b/src/main/kotlin/ledgearch/store/StoreClient.kt
@@ -91,14 +91,15 @@
     }
 
     /**
-     * Waits for changes of the keys under [prefix] after [revision]; [done] gets [ReadResult.Absent] if [revision] is
-     * too old for the service.
+     * Waits at most [blockMs] for changes of the keys under [prefix] after [revision]; [done] gets
+     * [ReadResult.Absent] if [revision] is too old for the service.
      */
     fun watch(
         prefix: String,
         revision: Long,
+        blockMs: Long = StoreTuning.WATCH_BLOCK_MS,
         done: (ReadResult<WatchReply>) -> Unit,
-    ) = queue.add(RequestClass.CRITICAL, StoreRequest.watch(prefix, revision)) { reply ->
+    ) = queue.add(RequestClass.CRITICAL, StoreRequest.watch(prefix, revision, blockMs)) { reply ->
         done(StoreReplies.read(reply, WatchReply.serializer()))
     }
 
--- a/src/main/kotlin/ledgearch/store/StoreRequest.kt
+++ b/src/main/kotlin/ledgearch/store/StoreRequest.kt
@@ -72,13 +72,14 @@
                 StoreRequestKind.LEASE,
             )
 
-        /** Creates a request to wait for changes of the keys under [prefix] after [revision]. */
+        /** Creates a request to wait at most [blockMs] for changes of the keys under [prefix] after [revision]. */
         fun watch(
             prefix: String,
             revision: Long,
+            blockMs: Long,
         ): StoreRequest {
-            val target = "/changes?under=$prefix&since=$revision&blockMs=${StoreTuning.WATCH_BLOCK_MS}"
-            val timeoutMs = StoreTuning.WATCH_BLOCK_MS + StoreTuning.WATCH_REPLY_GRACE_MS
+            val target = "/changes?under=$prefix&since=$revision&blockMs=$blockMs"
+            val timeoutMs = blockMs + StoreTuning.WATCH_REPLY_GRACE_MS
             return StoreRequest(GET, target, null, timeoutMs, StoreRequestKind.WATCH)
         }
     }
--- a/src/main/kotlin/ledgearch/store/StoreTuning.kt
+++ b/src/main/kotlin/ledgearch/store/StoreTuning.kt
@@ -17,6 +17,9 @@
     /** Short, since a watch whose reply is lost delivers nothing until it times out. */
     const val WATCH_BLOCK_MS = 2_000L
 
+    /** For a watch that many polls wait for; well below the time that users wait for a response. */
+    const val SHORT_WATCH_BLOCK_MS = 250L
+
     /** Time allowed for the reply of a watch beyond [WATCH_BLOCK_MS]. */
     const val WATCH_REPLY_GRACE_MS = 1_000L
 
