Requests to the state service that are passed over are counted and logged

While the budget is scarce, no lane may have two turns before one whose first request could be sent.

--- a/src/main/kotlin/ledgearch/store/RequestQueue.kt
+++ b/src/main/kotlin/ledgearch/store/RequestQueue.kt
@@ -3,6 +3,7 @@
 import ledgearch.http.Reply
 import ledgearch.runtime.Clock
 import ledgearch.runtime.Transport
+import org.slf4j.LoggerFactory
 
 /**
  * Queues requests until this node's budget allows them: critical ones and watches first, in the order of their arrival.
@@ -26,11 +27,19 @@
         val done: (Reply) -> Unit,
     )
 
+    private val log = LoggerFactory.getLogger("ledgearch.store")
     private val queues = RequestLane.entries.associateWith { ArrayDeque<QueuedRequest>() }
 
     /** Number of requests queued so far. */
     private var queuedCount = 0L
 
+    private val fairness = LaneFairness(::onPassedOver)
+    private var nextPassedOverLogMs = Long.MIN_VALUE
+
+    /** How often a request was passed over although it could be sent; not 0 is a defect. */
+    var passedOverCount = 0L
+        private set
+
     /** The lane that is not critical and was served last. */
     private var lastSharedLane = SHARED_LANES.last()
 
@@ -72,8 +81,8 @@
         RequestLane.entries.forEach(::refuseHopeless)
         while (budget.allowsRequests(1)) {
             val lane = nextLane() ?: return
+            if (!lane.isCritical) recordTurn(lane)
             send(queues.getValue(lane).removeFirst())
-            if (!lane.isCritical) lastSharedLane = lane
         }
     }
 
@@ -109,6 +118,23 @@
         return earliest(prior) ?: inTurn ?: earliest(sendable)
     }
 
+    private fun recordTurn(lane: RequestLane) {
+        lastSharedLane = lane
+        if (isBudgetScarce()) {
+            fairness.record(lane, SHARED_LANES.filter(::canSend))
+        } else {
+            fairness.clear()
+        }
+    }
+
+    /** Counts that the first request of [lane] was passed over, which must not occur, and logs it now and then. */
+    private fun onPassedOver(lane: RequestLane) {
+        passedOverCount++
+        if (clock.steadyMs < nextPassedOverLogMs) return
+        nextPassedOverLogMs = clock.steadyMs + StoreTuning.PASSED_OVER_LOG_INTERVAL_MS
+        log.error("requests to the state service are passed over; lane={} count={}", lane, passedOverCount)
+    }
+
     /** Returns whether the budget does not allow all waiting requests now. */
     private fun isBudgetScarce() = !budget.allowsRequests(queues.values.sumOf { it.size })
 
--- a/src/main/kotlin/ledgearch/store/StoreClient.kt
+++ b/src/main/kotlin/ledgearch/store/StoreClient.kt
@@ -32,6 +32,9 @@
     /** True if the service has refused this node and has not served it since. */
     val isRefused: Boolean get() = queue.isRefused
 
+    /** Whether no request was ever passed over although it could be sent. */
+    val isFair: Boolean get() = queue.passedOverCount == 0L
+
     /** The largest number of changes per transaction that stays within the service's limit at any time. */
     val maxChanges: Int get() = limits.safeTxnOps
 
@@ -105,7 +108,14 @@
 
     /** Returns the queued requests and the rates in force. */
     fun report() =
-        StoreReport(isRefused, budget.usesLowerLimits, budget.requestsPerS, budget.changesPerS, queue.report())
+        StoreReport(
+            isRefused,
+            budget.usesLowerLimits,
+            budget.requestsPerS,
+            budget.changesPerS,
+            queue.passedOverCount,
+            queue.report(),
+        )
 
     /** Sends as many queued requests as the budget allows; called after every batch of commands and on every tick. */
     fun sendAllowed() = queue.sendAllowed()
--- a/src/main/kotlin/ledgearch/store/StoreReport.kt
+++ b/src/main/kotlin/ledgearch/store/StoreReport.kt
@@ -14,6 +14,8 @@
     @SerialName("requests_per_s") val requestsPerS: Double,
     /** Changes per second that this node allows itself. */
     @SerialName("changes_per_s") val changesPerS: Double,
+    /** How often a request was passed over although it could be sent; not 0 is a defect. */
+    @SerialName("passed_over") val passedOver: Long,
     /** The queued requests by lane, for each lane with any. */
     val queued: Map<String, QueueReport>,
 )
--- a/src/main/kotlin/ledgearch/store/StoreTuning.kt
+++ b/src/main/kotlin/ledgearch/store/StoreTuning.kt
@@ -35,6 +35,9 @@
     /** The service accepts 64 KiB. */
     const val MAX_TRANSACTION_BYTES = 48 * 1024
 
+    /** Interval of the log line on requests that are passed over. */
+    const val PASSED_OVER_LOG_INTERVAL_MS = 10_000L
+
     /** Delay after a refused or unanswered request. */
     const val RETRY_DELAY_MS = 250L
 
