Metrics that tell why a single job's questions get no answer

What callers saw: questions about accepted jobs without an answer for more than a minute at 4,000 machines, and nothing in logs or metrics that tells which job, since when and why. The one reason dependencies_stale stood for three causes.

A poll that ends without an answer now counts as view_too_old, dependency_unknown or dependency_cancelled where that is its reason. GET /metrics names the job whose polls have failed at this node for the longest time, with its reason (a warning beyond 30 s, at most every 10 s), the number of dependencies whose final record is awaited and the age of the oldest, and the age of the oldest final record, machine record and cancellation request that is not durable. No behaviour changes.

--- a/src/main/kotlin/ledgearch/api/ApiTuning.kt
+++ b/src/main/kotlin/ledgearch/api/ApiTuning.kt
@@ -8,6 +8,15 @@
     /** Users wait 2 s for the response to a poll. */
     const val POLL_TIMEOUT_MS = 1_500L
 
+    /** Time without an answer after which a job is named in a warning. */
+    const val UNANSWERED_WARNING_MS = 30_000L
+
+    /** Interval of that warning. */
+    const val UNANSWERED_CHECK_INTERVAL_MS = 10_000L
+
+    /** Users poll every 5 s, at any node. */
+    const val UNANSWERED_JOB_KEPT_MS = 60_000L
+
     /** A cancellation of a job that has not ended after this time gets a 503 with a `Retry-After`. */
     const val CANCELLATION_TIMEOUT_MS = 3_000L
 
--- a/src/main/kotlin/ledgearch/api/Cancellations.kt
+++ b/src/main/kotlin/ledgearch/api/Cancellations.kt
@@ -37,6 +37,14 @@
     /** For each job whose `cancelRequested` is being written, the steady-clock ms from which it is written again. */
     private val nextWriteAtMs = HashMap<String, Long>()
 
+    /** Age in ms of the oldest request whose job has no durable `cancelRequested` yet; 0 if there is none. */
+    val oldestUnwrittenMs: Long
+        get() {
+            val unwritten = waiting.filterKeys { jobStore.jobs[it]?.record?.cancelRequested == false }
+            val oldest = unwritten.values.flatten().minOfOrNull { it.receivedAtMs } ?: return 0
+            return clock.steadyMs - oldest
+        }
+
     /** Adds a request to cancel the job [id]. */
     fun add(
         id: String,
--- a/src/main/kotlin/ledgearch/api/DependencyFreshness.kt
+++ b/src/main/kotlin/ledgearch/api/DependencyFreshness.kt
@@ -16,12 +16,20 @@
     /** Whether the job store was complete recently enough that a cancelled dependency is reported in time. */
     val isViewFresh: Boolean get() = clock.steadyMs - jobStore.completeAsOfMs < maxViewAgeMs
 
+    /** Returns whether [job] may be reported as open, see [obstacleTo]. */
+    fun mayReportOpen(job: Job): Boolean = obstacleTo(job) == null
+
     /**
-     * Returns whether [job] may be reported as open. A job with unfinished dependencies may be cancelled through them
-     * without a change of its own record, so this node's view must show all of them as open and be recent.
+     * Returns why [job] may not be reported as open, or null if it may. A job with unfinished dependencies may be
+     * cancelled through them without a change of its own record, so this node's view must show all of them as open and
+     * be recent.
      */
-    fun mayReportOpen(job: Job): Boolean {
-        if (!job.isBlockedByDependencies) return true
-        return !job.hasCancelledDependency && isViewFresh && jobStore.dependencies.areDependenciesOpen(job)
-    }
+    fun obstacleTo(job: Job): UnavailableReason? =
+        when {
+            !job.isBlockedByDependencies -> null
+            job.hasCancelledDependency -> UnavailableReason.DEPENDENCY_CANCELLED
+            !isViewFresh -> UnavailableReason.VIEW_TOO_OLD
+            !jobStore.dependencies.areDependenciesOpen(job) -> UnavailableReason.DEPENDENCY_UNKNOWN
+            else -> null
+        }
 }
--- a/src/main/kotlin/ledgearch/api/JobLookup.kt
+++ b/src/main/kotlin/ledgearch/api/JobLookup.kt
@@ -69,11 +69,7 @@
         ?: unreplicatedJobResponse(id, stored)
 
     private fun replicatedJobResponse(job: Job) =
-        if (freshness.mayReportOpen(job)) {
-            responses.open(job)
-        } else {
-            responses.unavailable(UnavailableReason.DEPENDENCIES_STALE)
-        }
+        freshness.obstacleTo(job)?.let(responses::unavailable) ?: responses.open(job)
 
     /** Returns the response for an open job that is not in this node's job store yet. */
     private fun unreplicatedJobResponse(
@@ -81,7 +77,7 @@
         stored: KeyValue,
     ) = if (decodeRecord(JobRecord.serializer(), stored.value)?.spec?.dependsOn != null) {
         // It may have been accepted long after a dependency was cancelled, which only the job store shows.
-        responses.unavailable(UnavailableReason.DEPENDENCIES_STALE)
+        responses.unavailable(UnavailableReason.DEPENDENCY_UNKNOWN)
     } else {
         responses.pending(id)
     }
--- a/src/main/kotlin/ledgearch/api/JobResponses.kt
+++ b/src/main/kotlin/ledgearch/api/JobResponses.kt
@@ -63,7 +63,7 @@
     /** Returns a 503 with a `Retry-After`: the request can't be served now, for [reason], which is counted. */
     fun unavailable(reason: UnavailableReason): Response {
         metrics.count("unavailable.${reason.label}")
-        return Response(HttpStatus.UNAVAILABLE, UNAVAILABLE_BODY, retryAfterS)
+        return Response(HttpStatus.UNAVAILABLE, UNAVAILABLE_BODY, retryAfterS, reason.label)
     }
 
     private fun response(
--- a/src/main/kotlin/ledgearch/api/Polls.kt
+++ b/src/main/kotlin/ledgearch/api/Polls.kt
@@ -21,6 +21,8 @@
     private val lookup: JobLookup,
     private val responses: JobResponses,
 ) {
+    /** The jobs whose polls fail at this node. */
+    val unanswered = UnansweredPolls(clock)
     private val waiting = ArrayDeque<Poll>()
     private var isTransactionInFlight = false
 
@@ -39,20 +41,27 @@
         respond: Respond,
     ) {
         if (!Validation.isJobId(id)) return respond(responses.jobNotFound())
-        jobStore.finalRecord(id)?.let { return respond(responses.ended(id, it)) }
+        val respondAndRecord = unanswered.recording(id, respond)
+        jobStore.finalRecord(id)?.let { return respondAndRecord(responses.ended(id, it)) }
         if (waiting.size >= ApiTuning.MAX_PENDING_REQUESTS) {
-            return respond(responses.unavailable(UnavailableReason.POLL_QUEUE_FULL))
+            return respondAndRecord(responses.unavailable(UnavailableReason.POLL_QUEUE_FULL))
         }
-        waiting.addLast(Poll(id, clock.steadyMs, respond))
+        waiting.addLast(Poll(id, clock.steadyMs, respondAndRecord))
     }
 
     /** Rejects the polls that have timed out. */
     fun rejectExpired() {
         while (waiting.isNotEmpty() && clock.steadyMs - waiting.first().receivedAtMs >= ApiTuning.POLL_TIMEOUT_MS) {
-            waiting.removeFirst().respond(responses.unavailable(UnavailableReason.POLL_TIMEOUT))
+            val poll = waiting.removeFirst()
+            poll.respond(responses.unavailable(timeoutReason(poll)))
         }
+        unanswered.runDueWork()
     }
 
+    /** Returns why [poll] was not answered in time. */
+    private fun timeoutReason(poll: Poll) =
+        jobStore.jobs[poll.id]?.let(freshness::obstacleTo) ?: UnavailableReason.POLL_TIMEOUT
+
     /**
      * Responds to the polls that this node's view confirms, then sends a transaction that compares the other polled
      * jobs, unless one is in flight or a retry must wait.
--- a/src/main/kotlin/ledgearch/api/SubmissionQueue.kt
+++ b/src/main/kotlin/ledgearch/api/SubmissionQueue.kt
@@ -123,7 +123,7 @@
             }
 
             Admission.STALE -> {
-                reject(submission, UnavailableReason.DEPENDENCIES_STALE)
+                reject(submission, UnavailableReason.VIEW_TOO_OLD)
                 true
             }
         }
--- a/src/main/kotlin/ledgearch/api/UnavailableReason.kt
+++ b/src/main/kotlin/ledgearch/api/UnavailableReason.kt
@@ -22,8 +22,14 @@
     /** A job seems to have ended, but its final record could not be read yet. */
     FINAL_RECORD_MISSING("final_record_missing"),
 
-    /** This node's view of the jobs that the job depends on is incomplete or too old. */
-    DEPENDENCIES_STALE("dependencies_stale"),
+    /** The job waits for others, and this node's view of them is too old. */
+    VIEW_TOO_OLD("view_too_old"),
+
+    /** This node has not read yet whether a job that the job depends on is done or cancelled. */
+    DEPENDENCY_UNKNOWN("dependency_unknown"),
+
+    /** A dependency was cancelled, and the final record that cancels the job itself is not durable yet. */
+    DEPENDENCY_CANCELLED("dependency_cancelled"),
 
     /** Too many submissions wait for their record to be durable. */
     SUBMISSION_QUEUE_FULL("submission_queue_full"),
--- a/src/main/kotlin/ledgearch/api/UserApi.kt
+++ b/src/main/kotlin/ledgearch/api/UserApi.kt
@@ -67,6 +67,12 @@
     /** Age in ms of the oldest poll that waits for its confirmation; 0 if there is none. */
     val oldestPollMs: Long get() = polls.oldestWaitingMs
 
+    /** The job polled here without an answer for the longest time, or null. */
+    val longestUnanswered: LongestUnanswered? get() = polls.unanswered.longest()
+
+    /** Age in ms of the oldest request to cancel a job that is not durable yet; 0 if there is none. */
+    val oldestCancelRequestMs: Long get() = cancellations.oldestUnwrittenMs
+
     /** Called when the job [id] has ended. */
     fun onJobClosed(id: String) = cancellations.onJobClosed(id)
 
--- a/src/main/kotlin/ledgearch/control/Leader.kt
+++ b/src/main/kotlin/ledgearch/control/Leader.kt
@@ -19,6 +19,7 @@
 import ledgearch.model.Machine
 import ledgearch.model.TaskAttempt
 import ledgearch.model.TeamQuotas
+import ledgearch.persistence.PendingWriteReport
 import ledgearch.persistence.RecordWriter
 import ledgearch.recovery.ZoneRecovery
 import ledgearch.runtime.Clock
@@ -184,6 +185,9 @@
     /** Milliseconds from the election until every recorded machine was confirmed; null before. */
     val failoverMs: Long? get() = reconciliation.failoverMs
 
+    /** Returns what is not durable yet, by its kind. */
+    fun pendingWrites(): Map<String, PendingWriteReport> = recordWriter.report()
+
     /** Begins the term of the election with [token]; [failoverHints] come from a warm standby's replica, if any. */
     fun begin(
         token: Long,
--- a/src/main/kotlin/ledgearch/control/MetricsSource.kt
+++ b/src/main/kotlin/ledgearch/control/MetricsSource.kt
@@ -37,20 +37,30 @@
             latencyMs = metrics.latencies(),
             health = healthCheck.state().label,
             view = ViewReport(jobStore.isLoaded, jobStore.revision, viewAgeMs()),
-            polls = PollReport(userApi.waitingPollCount, userApi.oldestPollMs),
+            polls = pollReport(),
+            dependencies = jobStore.dependencies.report(),
+            pendingWrites = if (election.isLeader) leader.pendingWrites() else null,
             store = storeClient.report(),
             standby = standby?.report(election.isLeader),
             recovery = if (election.isLeader) leader.recovery?.report() else null,
         )
 
-    private fun viewAgeMs(): Long =
-        if (jobStore.completeAsOfMs <
-            0
-        ) {
-            UNKNOWN_AGE_MS
-        } else {
-            clock.steadyMs - jobStore.completeAsOfMs
-        }
+    private fun pollReport(): PollReport {
+        val longest = userApi.longestUnanswered
+        return PollReport(
+            waiting = userApi.waitingPollCount,
+            oldestMs = userApi.oldestPollMs,
+            longestUnansweredMs = longest?.unansweredMs ?: 0,
+            longestUnansweredJob = longest?.jobId,
+            longestUnansweredReason = longest?.reason,
+            oldestCancelMs = userApi.oldestCancelRequestMs,
+        )
+    }
+
+    private fun viewAgeMs(): Long {
+        val completeAsOfMs = jobStore.completeAsOfMs
+        return if (completeAsOfMs < 0) UNKNOWN_AGE_MS else clock.steadyMs - completeAsOfMs
+    }
 
     private companion object {
         const val UNKNOWN_AGE_MS = -1L
--- a/src/main/kotlin/ledgearch/http/Messages.kt
+++ b/src/main/kotlin/ledgearch/http/Messages.kt
@@ -16,6 +16,8 @@
     val status: Int,
     val body: String = "",
     val retryAfterS: Int? = null,
+    /** Why the request was refused, for logs; not sent. */
+    val refusalLabel: String? = null,
 )
 
 /** The reply to an outgoing call; [status] 0 means that there was none. */
--- a/src/main/kotlin/ledgearch/jobs/JobDependencies.kt
+++ b/src/main/kotlin/ledgearch/jobs/JobDependencies.kt
@@ -50,6 +50,9 @@
     private var pendingReads = 0
     private var nextRunAtMs = Long.MIN_VALUE
 
+    /** For each dependency that is neither open nor known to have ended, the steady-clock time since when. */
+    private val awaitedSinceMs = LinkedHashMap<String, Long>()
+
     /** Adds [job], which is open on this node from now on. */
     fun addJob(job: Job) {
         for (id in job.spec.dependsOn.orEmpty()) {
@@ -103,13 +106,26 @@
     fun runDueWork() {
         if (dependents.isEmpty() || clock.steadyMs < nextRunAtMs) return
         nextRunAtMs = clock.steadyMs + RuntimeTuning.TICK_INTERVAL_MS
-        for (id in dependents.keys) {
+        updateAwaited()
+        for (id in awaitedSinceMs.keys) {
             if (pendingReads >= JobsTuning.MAX_CONCURRENT_DEPENDENCY_READS) return
-            val isDue = clock.steadyMs >= (nextReadAtMs[id] ?: Long.MIN_VALUE)
-            if (isDue && id !in openJobs && finalRecordOf(id) == null) readFinalRecord(id)
+            if (clock.steadyMs >= (nextReadAtMs[id] ?: Long.MIN_VALUE)) readFinalRecord(id)
         }
     }
 
+    private fun updateAwaited() {
+        awaitedSinceMs.keys.removeIf { !isAwaited(it) }
+        for (id in dependents.keys) if (isAwaited(id)) awaitedSinceMs.putIfAbsent(id, clock.steadyMs)
+    }
+
+    private fun isAwaited(id: String) = id in dependents && id !in openJobs && finalRecordOf(id) == null
+
+    /** Returns how many final records are awaited, and for how long. */
+    fun report(): DependencyReport {
+        val oldestSinceMs = awaitedSinceMs.values.minOrNull() ?: clock.steadyMs
+        return DependencyReport(awaitedSinceMs.size, clock.steadyMs - oldestSinceMs)
+    }
+
     /** Returns whether every unfinished dependency of [job], direct or indirect, is known to this node as open. */
     fun areDependenciesOpen(job: Job): Boolean {
         val toVisit = ArrayDeque(job.unfinishedDependencies)
--- a/src/main/kotlin/ledgearch/persistence/MachineRecords.kt
+++ b/src/main/kotlin/ledgearch/persistence/MachineRecords.kt
@@ -3,6 +3,7 @@
 import ledgearch.model.Machine
 import ledgearch.model.TeamQuotas
 import ledgearch.records.Keys
+import ledgearch.runtime.Clock
 import ledgearch.store.StoreTuning
 import ledgearch.wire.Change
 import ledgearch.wire.KeyValue
@@ -22,6 +23,7 @@
 internal class MachineRecords(
     maxValueBytes: Int,
     private val maxChanges: Int,
+    private val clock: Clock,
 ) : PendingWrites {
     private val sizes = MachineRecordSizes(maxValueBytes)
     private val groups = LinkedHashMap<String, MachineGroup>()
@@ -44,7 +46,7 @@
     /** Adds [machine], or queues its record for writing if the machine was added before. */
     fun put(machine: Machine) {
         val group = groupOfMachine[machine.name]
-        if (group == null) newMachines[machine.name] = machine else group.markChanged()
+        if (group == null) newMachines[machine.name] = machine else group.markChanged(clock.steadyMs)
     }
 
     /** Removes [machine] from its record. */
@@ -52,7 +54,7 @@
         newMachines.remove(machine.name)
         val group = groupOfMachine.remove(machine.name) ?: return
         group.machines.remove(machine.name)
-        group.markChanged()
+        group.markChanged(clock.steadyMs)
     }
 
     /** Adds and returns the machines of the record [stored] under [name]; null if the record can't be decoded. */
@@ -68,13 +70,15 @@
             return null
         }
         val group = MachineGroup(name)
-        group.hasUnwrittenChanges = false
         groups[name] = group
         return record.machines.map { entry ->
             MachineRecordCodec.createMachine(record, entry, teams, nowMs).also { addToGroup(it, group) }
         }
     }
 
+    /** Returns the number of records that are not durable in their latest form, and the age of the oldest change. */
+    fun report() = PendingWriteReport.of(groups.values.mapNotNull { it.unwrittenSinceMs }, clock.steadyMs)
+
     private fun addToGroup(
         machine: Machine,
         group: MachineGroup,
@@ -100,6 +104,7 @@
         val group = MachineGroup(unusedName(members.first().name))
         members.forEach { addToGroup(it, group) }
         groups[group.name] = group
+        group.unwrittenSinceMs = clock.steadyMs
         return group
     }
 
@@ -144,11 +149,11 @@
     ) {
         group.parts = listOf(group)
         if (group.version != version) {
-            group.hasUnwrittenChanges = true
+            group.unwrittenSinceMs = clock.steadyMs
         } else if (group.machines.isEmpty()) {
             groups.remove(group.name)
         } else {
-            group.hasUnwrittenChanges = false
+            group.unwrittenSinceMs = null
         }
     }
 
--- a/src/main/kotlin/ledgearch/persistence/PendingJobClosings.kt
+++ b/src/main/kotlin/ledgearch/persistence/PendingJobClosings.kt
@@ -5,6 +5,7 @@
 import ledgearch.records.FinalRecord
 import ledgearch.records.Keys
 import ledgearch.records.encodeRecord
+import ledgearch.runtime.Clock
 import ledgearch.wire.Change
 import ledgearch.wire.JobState
 
@@ -27,10 +28,13 @@
 internal class PendingJobClosings(
     private val jobStore: JobStore,
     private val listener: JobClosingListener,
+    private val clock: Clock,
 ) : PendingWrites {
     private class Closing(
         val job: Job,
         val state: JobState,
+        /** Steady-clock time. */
+        val addedAtMs: Long,
     ) {
         val record get() = FinalRecord(state, if (state == JobState.DONE) job.spec.taskCount else 0)
     }
@@ -50,7 +54,7 @@
     ) {
         if (job.isClosing) return
         job.isClosing = true
-        closings[job.id] = Closing(job, state)
+        closings[job.id] = Closing(job, state, clock.steadyMs)
     }
 
     /** Records that the open record of the job [id] is no longer at [revision]. */
@@ -67,6 +71,9 @@
         closings.clear()
     }
 
+    /** Returns the number of jobs whose final record is not durable, and the age of the oldest. */
+    fun report() = PendingWriteReport.of(closings.values.map { it.addedAtMs }, clock.steadyMs)
+
     override fun addTo(batch: Batch): Boolean {
         for (closing in closings.values) {
             val job = closing.job
--- a/src/main/kotlin/ledgearch/persistence/RecordWriter.kt
+++ b/src/main/kotlin/ledgearch/persistence/RecordWriter.kt
@@ -39,8 +39,8 @@
     private var isWritePending = false
     private var retryAtMs = Long.MIN_VALUE
     private val oversizedEntries = OversizedEntries(clock)
-    private val machines = MachineRecords(maxValueBytes, storeClient.maxChanges)
-    private val closings = PendingJobClosings(jobStore, ClosingEvents())
+    private val machines = MachineRecords(maxValueBytes, storeClient.maxChanges, clock)
+    private val closings = PendingJobClosings(jobStore, ClosingEvents(), clock)
     private val removals = PendingKeyRemovals()
     private val finishedTasks = PendingFinishedTaskWrites(maxValueBytes, jobStore, removals, clock)
     private val catalogWrite = PendingCatalogWrite(maxValueBytes)
@@ -48,6 +48,13 @@
     /** All kinds of pending writes, in the order in which they are added to a batch. */
     private val pendingWrites: List<PendingWrites> = listOf(machines, closings, finishedTasks, removals, catalogWrite)
 
+    /** Returns the final records and machine records that are not durable, by their kind. */
+    fun report(): Map<String, PendingWriteReport> =
+        mapOf(
+            "final_records" to closings.report(),
+            "machine_records" to machines.report(),
+        )
+
     /** Called when this leader has written the final record of a job. */
     var onJobClosed: (Job, FinalRecord) -> Unit = { _, _ -> }
 
--- a/src/main/kotlin/ledgearch/status/MetricsReport.kt
+++ b/src/main/kotlin/ledgearch/status/MetricsReport.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import ledgearch.jobs.DependencyReport
+import ledgearch.persistence.PendingWriteReport
 import ledgearch.recovery.RecoveryReport
 import ledgearch.runtime.Distribution
 import ledgearch.runtime.OwnerLoad
@@ -33,6 +35,10 @@
     val view: ViewReport? = null,
     /** The polls that wait. Null if the controller's version does not report it. */
     val polls: PollReport? = null,
+    /** Final records of dependencies that are awaited. Null if the controller's version does not report it. */
+    val dependencies: DependencyReport? = null,
+    /** What the leader has to write. Null on other nodes, and if the controller's version does not report it. */
+    @SerialName("pending_writes") val pendingWrites: Map<String, PendingWriteReport>? = null,
     /** Requests to the state service. Null if the controller's version does not report it. */
     val store: StoreReport? = null,
     /** State of warm standby; null if it is disabled. */
@@ -59,4 +65,12 @@
     val waiting: Int,
     /** Age of the oldest one in ms, or 0. */
     @SerialName("oldest_ms") val oldestMs: Long,
+    /** Longest time in ms for which the polls of one job have failed here, or 0. */
+    @SerialName("longest_unanswered_ms") val longestUnansweredMs: Long = 0,
+    /** That job. */
+    @SerialName("longest_unanswered_job") val longestUnansweredJob: String? = null,
+    /** Why its last poll failed: a label of the counters `unavailable.`. */
+    @SerialName("longest_unanswered_reason") val longestUnansweredReason: String? = null,
+    /** Age in ms of the oldest request to cancel a job that is not durable yet, or 0. */
+    @SerialName("oldest_cancel_ms") val oldestCancelMs: Long = 0,
 )
