--- a/src/test/kotlin/ledgearch/loopback/ControllerProcess.kt
+++ b/src/test/kotlin/ledgearch/loopback/ControllerProcess.kt
@@ -74,9 +74,13 @@
 
     private fun signal(name: String) {
         val pid = checkNotNull(process) { "${this.name} was never started" }.pid()
-        val sender = ProcessBuilder("kill", "-$name", pid.toString()).start()
-        check(sender.waitFor(SIGNAL_TIMEOUT_S, TimeUnit.SECONDS) && sender.exitValue() == 0) {
-            "SIG$name to process $pid failed"
+        val sender = ProcessBuilder("kill", "-$name", pid.toString()).redirectErrorStream(true).start()
+        check(sender.waitFor(SIGNAL_TIMEOUT_S, TimeUnit.SECONDS)) {
+            "SIG$name to process $pid was not sent within $SIGNAL_TIMEOUT_S s, the process is alive: $isAlive"
+        }
+        check(sender.exitValue() == 0) {
+            val output = sender.inputStream.bufferedReader().readText()
+            "SIG$name to process $pid failed, the process is alive: $isAlive; $output"
         }
     }
 
--- a/src/test/kotlin/ledgearch/tools/Soak.kt
+++ b/src/test/kotlin/ledgearch/tools/Soak.kt
@@ -11,7 +11,7 @@
 import kotlin.system.exitProcess
 
 /**
- * Runs the soak on real processes for a range of seeds: `java -Dseeds=1-50 -Djobs=4 -Dworkers=24 -cp ...
+ * Runs the soak on real processes for a range of seeds: `java -Dseeds=1-50 -Djobs=4 -Dworkers=60 -cp ...
  * ledgearch.tools.SoakKt`. Every tenth seed has [MANY_WORKERS] workers unless `workers` is given. The exit code is 1 if
  * a seed failed and 2 if an option is wrong; the logs of a failed seed are kept under `target/soak`.
  */
@@ -80,14 +80,10 @@
             "  logs: $folder; again: -Dseeds=${plan.seed} -Dworkers=${workers ?: workersOf(plan.seed)}"
     }
 
-    private fun workersOf(seed: Long) =
-        if (seed % MANY_WORKERS_ONE_IN ==
-            0L
-        ) {
-            MANY_WORKERS
-        } else {
-            SoakOptions.DEFAULT_WORKERS
-        }
+    private fun workersOf(seed: Long): Int {
+        val hasManyWorkers = seed % MANY_WORKERS_ONE_IN == 0L
+        return if (hasManyWorkers) MANY_WORKERS else SoakOptions.DEFAULT_WORKERS
+    }
 
     companion object {
         private val LOGS: Path = Path.of("target/soak").toAbsolutePath()
