Final records of dependencies and ended jobs are read in bulk, no longer one by one

What callers saw: after a restart of the controllers, questions about an open job got no answer for more than a minute at any of them, if the job depends on jobs that were done before, although all troubles were over.

Cause: after a restart a controller knows no final record, and a job that depends on others is reported only once the final record of each dependency is known. They were read one by one, six at a time, in the lane of single reads that a follower's share of the limit on requests divides with watches and comparisons: the time grows with the number of such jobs, the limit does not. Questions about ended jobs that no controller had in memory took two reads each in the same lane.

Fix: FinalRecordReader reads up to 16 records by key and more in pages of 1,000 in the order of the keys; a page decides about every wanted record in its range. Pages have a lane of their own, and take turns between the record that a user waits for and a round over all. A page proves an absence only for reads that were wanted before it was requested; a final record is permanent. A question whose comparison shows a final record reads only that.

--- a/src/main/kotlin/ledgearch/api/JobLookup.kt
+++ b/src/main/kotlin/ledgearch/api/JobLookup.kt
@@ -34,6 +34,22 @@
         onAbsent: () -> Unit,
     ) = read(id, respond, onAbsent) { stored -> respond(openJobResponse(id, stored)) }
 
+    /** Reads the final record of the job [id], which has ended, and responds with its state. */
+    fun respondWithFinalState(
+        id: String,
+        respond: Respond,
+    ) {
+        if (isFull) return respond(responses.unavailable(UnavailableReason.LOOKUPS_FULL))
+        val done =
+            countInFlight<JobReadResult> { result ->
+                val record = (result as? JobReadResult.Ended)?.record
+                respond(
+                    record?.let { responses.ended(id, it) } ?: responses.unavailable(UnavailableReason.LOOKUP_FAILED),
+                )
+            }
+        jobStore.recordReader.readFinalRecord(id, done)
+    }
+
     /**
      * Reads the job [id] and calls [onOpen] with its open record, or [onAbsent] if it was never accepted. Responds
      * itself if the job has ended, if the state service gives no conclusive reply and if [isFull].
--- a/src/main/kotlin/ledgearch/api/Polls.kt
+++ b/src/main/kotlin/ledgearch/api/Polls.kt
@@ -104,13 +104,20 @@
             val job = jobStore.jobs[poll.id]
             val finalRecord = jobStore.finalRecord(poll.id)
             when {
-                finalRecord != null -> poll.respond(responses.ended(poll.id, finalRecord))
+                finalRecord != null -> {
+                    poll.respond(responses.ended(poll.id, finalRecord))
+                }
 
                 // A dependency was cancelled and the final record is not written yet, or this node's view of the
                 // dependencies is incomplete or too old.
-                job != null && !freshness.mayReportOpen(job) -> deferred.add(poll)
+                job != null && !freshness.mayReportOpen(job) -> {
+                    jobStore.dependencies.readSoon(job)
+                    deferred.add(poll)
+                }
 
-                else -> batch.add(poll, job)
+                else -> {
+                    batch.add(poll, job)
+                }
             }
         }
         deferred.asReversed().forEach(waiting::addFirst)
@@ -176,7 +183,9 @@
         poll: Poll,
         failedKeys: List<String>,
     ) {
-        if (Keys.job(poll.id) in failedKeys || Keys.final(poll.id) in failedKeys) {
+        if (Keys.final(poll.id) in failedKeys) {
+            lookup.respondWithFinalState(poll.id, poll.respond)
+        } else if (Keys.job(poll.id) in failedKeys) {
             lookup.respondWithState(poll.id, poll.respond) { poll.respond(responses.jobNotFound()) }
         } else {
             waiting.addFirst(poll)
--- a/src/main/kotlin/ledgearch/jobs/JobDependencies.kt
+++ b/src/main/kotlin/ledgearch/jobs/JobDependencies.kt
@@ -34,7 +34,7 @@
  * and starts none of its tasks before every recorded machine has confirmed the new token.
  */
 internal class JobDependencies(
-    private val recordReader: JobRecordReader,
+    private val finalRecordReader: FinalRecordReader,
     private val clock: Clock,
     private val openJobs: Map<String, Job>,
     private val finalRecordOf: (String) -> FinalRecord?,
@@ -43,11 +43,9 @@
     /** For each job id that is not known to be done, the open jobs that name it as a dependency. */
     private val dependents = HashMap<String, LinkedHashSet<Job>>()
 
-    /** For each dependency that is not open, the steady-clock time at which its final record is read again. */
+    /** For each dependency that is not open, the steady-clock time from which its final record may be read again. */
     private val nextReadAtMs = HashMap<String, Long>()
 
-    /** The number of reads of final records that are pending. */
-    private var pendingReads = 0
     private var nextRunAtMs = Long.MIN_VALUE
 
     /** For each dependency that is neither open nor known to have ended, the steady-clock time since when. */
@@ -102,15 +100,14 @@
         updatePriorities(job.unfinishedDependencies)
     }
 
-    /** Reads the final records of dependencies that are neither open nor known to have ended, a few at a time. */
+    /** Reads the final records of dependencies that are neither open nor known to have ended. */
     fun runDueWork() {
         if (dependents.isEmpty() || clock.steadyMs < nextRunAtMs) return
         nextRunAtMs = clock.steadyMs + RuntimeTuning.TICK_INTERVAL_MS
         updateAwaited()
-        for (id in awaitedSinceMs.keys) {
-            if (pendingReads >= JobsTuning.MAX_CONCURRENT_DEPENDENCY_READS) return
-            if (clock.steadyMs >= (nextReadAtMs[id] ?: Long.MIN_VALUE)) readFinalRecord(id)
-        }
+        awaitedSinceMs.keys
+            .filter { clock.steadyMs >= (nextReadAtMs[it] ?: Long.MIN_VALUE) }
+            .forEach(::readFinalRecord)
     }
 
     private fun updateAwaited() {
@@ -127,18 +124,29 @@
     }
 
     /** Returns whether every unfinished dependency of [job], direct or indirect, is known to this node as open. */
-    fun areDependenciesOpen(job: Job): Boolean {
-        val toVisit = ArrayDeque(job.unfinishedDependencies)
-        val visited = HashSet<String>()
-        while (toVisit.isNotEmpty()) {
-            val id = toVisit.removeFirst()
-            if (!visited.add(id)) continue
-            val dependency = openJobs[id] ?: return false
-            toVisit.addAll(dependency.unfinishedDependencies)
-        }
-        return true
+    fun areDependenciesOpen(job: Job): Boolean = unknownDependency(job) == null
+
+    /** Has the state of a dependency of [job] that this node does not know read before those of others. */
+    fun readSoon(job: Job) {
+        unknownDependency(job)?.let(finalRecordReader::prioritize)
     }
 
+    /** Returns an unfinished dependency of [job], direct or indirect, that this node does not know as open, or null. */
+    private fun unknownDependency(job: Job): String? = unfinishedDependencies(job).firstOrNull { it !in openJobs }
+
+    /** Returns the ids of the unfinished dependencies of [job], direct or indirect, as far as this node knows them. */
+    fun unfinishedDependencies(job: Job): Sequence<String> =
+        sequence {
+            val toVisit = ArrayDeque(job.unfinishedDependencies)
+            val visited = HashSet<String>()
+            while (toVisit.isNotEmpty()) {
+                val id = toVisit.removeFirst()
+                if (!visited.add(id)) continue
+                yield(id)
+                openJobs[id]?.let { toVisit.addAll(it.unfinishedDependencies) }
+            }
+        }
+
     /** Returns whether the job [id] and all its unfinished dependencies are known to this node as open. */
     fun isOpenWithDependencies(id: String): Boolean = openJobs[id]?.let(::areDependenciesOpen) ?: false
 
@@ -172,9 +180,10 @@
     }
 
     private fun readFinalRecord(id: String) {
-        pendingReads++
-        nextReadAtMs[id] = clock.steadyMs + JobsTuning.DEPENDENCY_READ_INTERVAL_MS
-        recordReader.readFinalRecord(id) { pendingReads-- }
+        nextReadAtMs[id] = Long.MAX_VALUE
+        finalRecordReader.read(id, FinalRecordUse.DEPENDENCIES) {
+            nextReadAtMs.computeIfPresent(id) { _, _ -> clock.steadyMs + JobsTuning.DEPENDENCY_READ_INTERVAL_MS }
+        }
     }
 
     /** Updates the priorities of the open jobs in [ids] and, where one changes, those of its dependencies. */
--- a/src/main/kotlin/ledgearch/jobs/JobRecordReader.kt
+++ b/src/main/kotlin/ledgearch/jobs/JobRecordReader.kt
@@ -2,7 +2,6 @@
 
 import ledgearch.records.FinalRecord
 import ledgearch.records.Keys
-import ledgearch.records.decodeRecord
 import ledgearch.store.ReadResult
 import ledgearch.store.RequestClass
 import ledgearch.store.StoreClient
@@ -28,14 +27,14 @@
 }
 
 /**
- * Reads the records of single jobs from the state service and reports final records to [onFinalRecord].
+ * Reads the records of single jobs from the state service, for users' requests.
  *
  * One transaction replaces a job's open record by its final one. The open record is therefore read first: if it and
  * then the final record are absent, the job had not been accepted when the first one was read.
  */
 internal class JobRecordReader(
     private val storeClient: StoreClient,
-    private val onFinalRecord: (String, FinalRecord) -> Unit,
+    private val finalRecordReader: FinalRecordReader,
 ) {
     /** Reads the open record of the job [id] and, if it is absent, the final one. */
     fun read(
@@ -53,20 +52,5 @@
     fun readFinalRecord(
         id: String,
         done: (JobReadResult) -> Unit,
-    ) = storeClient.get(Keys.final(id), RequestClass.ORDINARY) { result ->
-        when (result) {
-            is ReadResult.Found -> done(handleFinalRecord(id, result.value))
-            ReadResult.Absent -> done(JobReadResult.Absent)
-            ReadResult.Failed -> done(JobReadResult.Unknown)
-        }
-    }
-
-    private fun handleFinalRecord(
-        id: String,
-        stored: KeyValue,
-    ): JobReadResult {
-        val record = decodeRecord(FinalRecord.serializer(), stored.value) ?: return JobReadResult.Unknown
-        onFinalRecord(id, record)
-        return JobReadResult.Ended(record)
-    }
+    ) = finalRecordReader.read(id, FinalRecordUse.USER_REQUEST, done)
 }
--- a/src/main/kotlin/ledgearch/jobs/JobStore.kt
+++ b/src/main/kotlin/ledgearch/jobs/JobStore.kt
@@ -115,6 +115,7 @@
     /** Reads due final records of dependencies and starts the listing or the next watch unless one is pending. */
     fun runDueWork() {
         dependencies.runDueWork()
+        openJobs.finalRecordReader.runDueWork()
         if (isRequestPending || clock.steadyMs < retryAtMs) return
         isRequestPending = true
         if (isLoaded) watch() else listingReader.read(::onListed)
--- a/src/main/kotlin/ledgearch/jobs/OpenJobs.kt
+++ b/src/main/kotlin/ledgearch/jobs/OpenJobs.kt
@@ -22,11 +22,14 @@
     val byId = LinkedHashMap<String, Job>()
     private val finalRecords = LruMap<String, FinalRecord>(finalRecordCacheSize)
 
+    /** Reads final records for users and for the dependencies. */
+    val finalRecordReader = FinalRecordReader(storeClient, clock, ::addFinalRecord)
+
     /** Reads the records of single jobs directly, independent of the watch. */
-    val recordReader = JobRecordReader(storeClient, ::addFinalRecord)
+    val recordReader = JobRecordReader(storeClient, finalRecordReader)
 
     /** The dependencies between the open jobs. */
-    val dependencies = JobDependencies(recordReader, clock, byId, ::finalRecord, dependencyListener)
+    val dependencies = JobDependencies(finalRecordReader, clock, byId, ::finalRecord, dependencyListener)
 
     /** Returns the final record of the job [id]; null if it is not cached. */
     fun finalRecord(id: String): FinalRecord? = finalRecords[id]
--- a/src/main/kotlin/ledgearch/store/RequestLane.kt
+++ b/src/main/kotlin/ledgearch/store/RequestLane.kt
@@ -17,6 +17,9 @@
     /** Transactions that only compare, each for many users. */
     COMPARE,
 
+    /** Pages of keys, each read for many requests. */
+    PAGE,
+
     /** Reads of single keys. */
     READ,
 
@@ -28,7 +31,7 @@
     val isCritical: Boolean get() = this == CRITICAL_WRITE || this == CRITICAL
 
     /** Whether its requests wait after a rate limit error and fail while the state service refuses this node. */
-    val isOrdinary: Boolean get() = this == COMPARE || this == READ || this == WRITE
+    val isOrdinary: Boolean get() = this == COMPARE || this == PAGE || this == READ || this == WRITE
 
     companion object {
         /** Returns the lane for a request of [requestClass] and [kind]. */
@@ -41,6 +44,7 @@
                 requestClass == RequestClass.CRITICAL && kind == StoreRequestKind.WRITE -> CRITICAL_WRITE
                 requestClass == RequestClass.CRITICAL -> CRITICAL
                 kind == StoreRequestKind.COMPARE -> COMPARE
+                kind == StoreRequestKind.LIST -> PAGE
                 kind == StoreRequestKind.WRITE -> WRITE
                 else -> READ
             }
@@ -49,9 +53,12 @@
 
 /** What a request to the state service does. */
 internal enum class StoreRequestKind {
-    /** Reads or lists keys. */
+    /** Reads one key. */
     READ,
 
+    /** Lists keys. */
+    LIST,
+
     /** Opens or renews a lease. */
     LEASE,
 
--- a/src/main/kotlin/ledgearch/store/StoreClient.kt
+++ b/src/main/kotlin/ledgearch/store/StoreClient.kt
@@ -66,13 +66,17 @@
         done(StoreReplies.read(reply, KeyValue.serializer()))
     }
 
-    /** Reads a page of the keys under [prefix] in key order, beginning after [afterKey] or, if null, at the first. */
+    /**
+     * Reads a page of at most [limit] keys under [prefix] in key order, beginning after [afterKey] or, if null, at the
+     * first.
+     */
     fun list(
         prefix: String,
         afterKey: String?,
         requestClass: RequestClass,
+        limit: Int = StoreTuning.KEYS_PER_PAGE,
         done: (ReadResult<KeyPage>) -> Unit,
-    ) = queue.add(requestClass, StoreRequest.list(prefix, afterKey)) { reply ->
+    ) = queue.add(requestClass, StoreRequest.list(prefix, afterKey, limit)) { reply ->
         val page = StoreReplies.read(reply, KeyPage.serializer())
         done(if (lacksNextKey(page)) ReadResult.Failed else page)
     }
--- a/src/main/kotlin/ledgearch/store/StoreRequest.kt
+++ b/src/main/kotlin/ledgearch/store/StoreRequest.kt
@@ -46,14 +46,15 @@
         fun get(key: String) =
             StoreRequest(GET, "/keys/$key", null, StoreTuning.REQUEST_TIMEOUT_MS, StoreRequestKind.READ)
 
-        /** Creates a request for a page of the keys under [prefix] after [afterKey] or, if null, from the first. */
+        /** Creates a request for [limit] keys under [prefix] after [afterKey] or, if null, from the first. */
         fun list(
             prefix: String,
             afterKey: String?,
+            limit: Int,
         ): StoreRequest {
             val since = if (afterKey == null) "" else "&since=$afterKey"
-            val target = "/keys?under=$prefix$since&limit=${StoreTuning.KEYS_PER_PAGE}"
-            return StoreRequest(GET, target, null, StoreTuning.PAGE_TIMEOUT_MS, StoreRequestKind.READ)
+            val target = "/keys?under=$prefix$since&limit=$limit"
+            return StoreRequest(GET, target, null, StoreTuning.PAGE_TIMEOUT_MS, StoreRequestKind.LIST)
         }
 
         /** Creates a request to open a lease. */
--- a/src/test/kotlin/ledgearch/simulation/scenarios/ProductionSteps.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/ProductionSteps.kt
@@ -17,6 +17,7 @@
             "workload" to ::submit,
             "poll-open" to { step -> workload.pollOpen(step.parseMs(2)) },
             "long-jobs" to { step -> workload.submitLong(step.words[1].toInt(), step.words[2].toLong()) },
+            "long-dependents" to ::submitLongDependents,
             "asking-users" to { step -> AskingUsers(simulation, step.parseMs(2)).begin() },
             "watch-unanswered" to { simulation.invariants.unansweredJobs.watch(simulation.clock.nowMs) },
             "audit-settled" to { simulation.invariants.auditSampler.beginSettled() },
@@ -31,6 +32,11 @@
         workload.addPastJobs(step.words[1].toInt(), JobState.valueOf(step.words[2].uppercase()))
     }
 
+    /** `long-dependents COUNT EVERY-MS`: submits jobs that stay open, each depending on a job that ended before. */
+    private fun submitLongDependents(step: Step) {
+        workload.submitLongDependents(step.words[1].toInt(), step.words[2].toLong())
+    }
+
     /** `workload COUNT EVERY-MS`: submits groups of jobs: arrays, chains, diamonds and services. */
     private fun submit(step: Step) {
         workload.submit(step.words[1].toInt(), step.words[2].toLong())
--- a/src/test/kotlin/ledgearch/simulation/scenarios/ProductionWorkload.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/ProductionWorkload.kt
@@ -31,11 +31,13 @@
     fun addPastJobs(
         count: Int,
         state: JobState,
-    ) = repeat(count) {
+    ) = repeat(count) { arrays.add(addPastJob(state)) }
+
+    private fun addPastJob(state: JobState): String {
         val job = newName()
         simulation.store.write("w/d/$job", """{"st":"${state.text}","n":1}""")
         simulation.invariants.recordPastJob(arraySpec(emptyList()).copy(id = job, taskCount = 1), state)
-        arrays.add(job)
+        return job
     }
 
     /** Submits [count] groups of jobs, one every [everyMs]. */
@@ -51,7 +53,7 @@
     ) = repeat(count) { i -> clock.after(i * everyMs) { submitLongJob() } }
 
     private fun submitLongJob() {
-        val spec = arraySpec(emptyList()).copy(taskCount = 1, vcpus = 1.0, estimatedRunTimeS = LONG_RUN_S)
+        val spec = longSpec(emptyList())
         when (random.nextInt(LONG_KINDS)) {
             0 -> users.submit(spec.copy(kind = JobKind.SERVICE, priority = Priority.PRODUCTION))
             1 -> users.submit(spec.copy(dependsOn = lastLongArray?.let(::listOf)))
@@ -59,6 +61,15 @@
         }
     }
 
+    private fun longSpec(dependsOn: List<String>) =
+        arraySpec(dependsOn).copy(taskCount = 1, vcpus = 1.0, estimatedRunTimeS = LONG_RUN_S)
+
+    /** Submits [count] jobs that stay open for minutes, one every [everyMs]. Each depends on its own past job, done. */
+    fun submitLongDependents(
+        count: Int,
+        everyMs: Long,
+    ) = repeat(count) { i -> clock.after(i * everyMs) { users.submit(longSpec(listOf(addPastJob(JobState.DONE)))) } }
+
     /** Polls every accepted job that no reply has reported as ended, once in each [everyMs]. */
     fun pollOpen(everyMs: Long) {
         val openJobs = simulation.invariants.acceptedJobs.filter { !simulation.invariants.isObservedEnded(it) }
