Jobs with a cancelled dependency are reported as cancelled without waiting for their own final record

What callers saw: after a job was cancelled that many others need, questions about these got no answer for more than a minute at any controller, although all troubles were over.

Cause: an answer waited for a write that it does not need. Such a job was reported only once its own final record was durable. Each takes two changes, and the leader's share of a lowered limit allows some nine changes a second, shared with machine records, which come first in each transaction: 1,000 such jobs take 220 s at least.

Fix: the final record of the cancelled job and the open record of the dependent are durable, and no task of the dependent may ever start, so that every node and every later leader derives the same end. Users are told it as soon as a node knows the former, also in reply to a cancellation. So that no node gives an older answer after that, a comparison that confirms a waiting job now compares the open records of all its unfinished dependencies as well, and a direct read of its own record alone is no longer enough (docs/design.md).

--- a/src/main/kotlin/ledgearch/api/Cancellations.kt
+++ b/src/main/kotlin/ledgearch/api/Cancellations.kt
@@ -53,7 +53,9 @@
         if (!Validation.isJobId(id)) return respond(responses.jobNotFound())
         jobStore.finalRecord(id)?.let { return respond(responses.ended(id, it)) }
         val cancellation = Cancellation(clock.steadyMs, respond)
-        if (jobStore.jobs.containsKey(id)) return awaitEnd(id, cancellation)
+        val job = jobStore.jobs[id]
+        if (job?.hasCancelledDependency == true) return respond(responses.cancelledWithDependency(id))
+        if (job != null) return awaitEnd(id, cancellation)
         // Another node may have accepted the job a moment ago. If it is open, the response must wait for its end.
         lookup.read(id, respond, onAbsent = { respond(responses.jobNotFound()) }) { stored ->
             onOpenRecordRead(id, cancellation, stored)
--- a/src/main/kotlin/ledgearch/api/JobLookup.kt
+++ b/src/main/kotlin/ledgearch/api/JobLookup.kt
@@ -10,7 +10,6 @@
 /** Serves requests by reading the records of single jobs, and limits the number of lookups in flight. */
 internal class JobLookup(
     private val jobStore: JobStore,
-    private val freshness: DependencyFreshness,
     private val responses: JobResponses,
 ) {
     private var inFlight = 0
@@ -85,7 +84,14 @@
         ?: unreplicatedJobResponse(id, stored)
 
     private fun replicatedJobResponse(job: Job) =
-        freshness.obstacleTo(job)?.let(responses::unavailable) ?: responses.open(job)
+        when {
+            job.hasCancelledDependency -> responses.cancelledWithDependency(job.id)
+
+            // Its own record does not show whether one of them was cancelled.
+            job.isBlockedByDependencies -> responses.unavailable(UnavailableReason.VIEW_TOO_OLD)
+
+            else -> responses.open(job)
+        }
 
     /** Returns the response for an open job that is not in this node's job store yet. */
     private fun unreplicatedJobResponse(
--- a/src/main/kotlin/ledgearch/api/JobResponses.kt
+++ b/src/main/kotlin/ledgearch/api/JobResponses.kt
@@ -57,6 +57,9 @@
         return response(HttpStatus.OK, JobStatus(id, record.state, done, 0))
     }
 
+    /** Returns a 200: a dependency of the job [id] was cancelled, so that none of its tasks ever starts. */
+    fun cancelledWithDependency(id: String) = response(HttpStatus.OK, JobStatus(id, JobState.CANCELLED))
+
     /** Returns a 404: the job was never accepted. */
     fun jobNotFound() = errorResponse(HttpStatus.NOT_FOUND, "no such job")
 
--- a/src/main/kotlin/ledgearch/api/PollBatch.kt
+++ b/src/main/kotlin/ledgearch/api/PollBatch.kt
@@ -12,6 +12,12 @@
 ) {
     /** Whether the conditions for this poll require that the job is open, not that it was never accepted. */
     var expectsOpen = false
+
+    /** Keys of the open records of the job's dependencies that the conditions for this poll compare. */
+    var dependencyKeys: Set<String> = emptySet()
+
+    /** Whether this node's view of a dependency was found to be outdated: only a newer view can confirm the job. */
+    var waitsForView = false
 }
 
 /** The polls that one transaction confirms, and the conditions that it compares for them. */
@@ -22,18 +28,38 @@
     val polls = ArrayList<Poll>()
     private val keyRevisions = LinkedHashMap<String, Long>()
 
-    /** Whether there is room for the conditions of another poll. */
+    /** Whether there is room for the conditions of a poll for a job without dependencies. */
     val hasRoom: Boolean get() = keyRevisions.size + ApiTuning.MAX_CONDITIONS_PER_POLL <= maxConditions
 
-    /** Adds [poll]; [job] is its job if it is open in this node's view, otherwise null. */
-    fun add(
+    /** Adds [poll] for a job that is not open in this node's view. Only call this if [hasRoom]. */
+    fun addUnknown(poll: Poll) {
+        polls.add(poll)
+        poll.expectsOpen = false
+        keyRevisions[Keys.job(poll.id)] = 0
+        keyRevisions[Keys.final(poll.id)] = 0
+    }
+
+    /**
+     * Adds [poll] for [job], which is open in this node's view, and so are its unfinished [dependencies], direct and
+     * indirect: another node may report the job as cancelled as soon as one of them is. Returns false if there is no
+     * room for the conditions.
+     */
+    fun addOpen(
         poll: Poll,
-        job: Job?,
-    ) {
+        job: Job,
+        dependencies: Sequence<Job>,
+    ): Boolean {
+        val revisions = LinkedHashMap<String, Long>()
+        for (open in sequenceOf(job) + dependencies) {
+            revisions[Keys.job(open.id)] = open.modRevision
+            if (revisions.size > maxConditions) return false
+        }
+        if (keyRevisions.size + revisions.keys.count { it !in keyRevisions } > maxConditions) return false
         polls.add(poll)
-        poll.expectsOpen = job != null
-        keyRevisions[Keys.job(poll.id)] = job?.modRevision ?: 0
-        if (job == null) keyRevisions[Keys.final(poll.id)] = 0
+        poll.expectsOpen = true
+        poll.dependencyKeys = revisions.keys - Keys.job(job.id)
+        keyRevisions += revisions
+        return true
     }
 
     /** Returns the conditions of the transaction: one per key, even if several polls are for the same job. */
--- a/src/main/kotlin/ledgearch/api/Polls.kt
+++ b/src/main/kotlin/ledgearch/api/Polls.kt
@@ -1,6 +1,8 @@
 package ledgearch.api
 
+import ledgearch.http.Response
 import ledgearch.jobs.JobStore
+import ledgearch.model.Job
 import ledgearch.records.Keys
 import ledgearch.runtime.Clock
 import ledgearch.store.RequestClass
@@ -42,18 +44,19 @@
     ) {
         if (!Validation.isJobId(id)) return respond(responses.jobNotFound())
         val respondAndRecord = unanswered.recording(id, respond)
-        jobStore.finalRecord(id)?.let { return respondAndRecord(responses.ended(id, it)) }
+        endedResponse(id)?.let { return respondAndRecord(it) }
         if (waiting.size >= ApiTuning.MAX_PENDING_REQUESTS) {
             return respondAndRecord(responses.unavailable(UnavailableReason.POLL_QUEUE_FULL))
         }
         waiting.addLast(Poll(id, clock.steadyMs, respondAndRecord))
+        jobStore.jobs[id]?.let(jobStore.dependencies::readSoon)
     }
 
     /** Rejects the polls that have timed out. */
     fun rejectExpired() {
         while (waiting.isNotEmpty() && clock.steadyMs - waiting.first().receivedAtMs >= ApiTuning.POLL_TIMEOUT_MS) {
             val poll = waiting.removeFirst()
-            poll.respond(responses.unavailable(timeoutReason(poll)))
+            poll.respond(endedResponse(poll.id) ?: responses.unavailable(timeoutReason(poll)))
         }
         unanswered.runDueWork()
     }
@@ -89,41 +92,54 @@
         while (polls.hasNext()) {
             val poll = polls.next()
             if (poll.receivedAtMs >= jobStore.completeAsOfMs) return
-            val job = jobStore.jobs[poll.id] ?: continue
-            if (!freshness.mayReportOpen(job)) continue
+            val response = endedResponse(poll.id) ?: openResponse(poll.id) ?: continue
             polls.remove()
-            poll.respond(responses.open(job))
+            poll.respond(response)
         }
     }
 
+    /** Returns the response if the job [id] may be reported as open, or null. */
+    private fun openResponse(id: String): Response? =
+        jobStore.jobs[id]?.takeIf(freshness::mayReportOpen)?.let(responses::open)
+
     private fun nextBatch(): PollBatch {
         val batch = PollBatch(storeClient.maxConditions)
         val deferred = ArrayList<Poll>()
         while (waiting.isNotEmpty() && batch.hasRoom) {
             val poll = waiting.removeFirst()
             val job = jobStore.jobs[poll.id]
-            val finalRecord = jobStore.finalRecord(poll.id)
+            val endedResponse = endedResponse(poll.id)
             when {
-                finalRecord != null -> {
-                    poll.respond(responses.ended(poll.id, finalRecord))
-                }
-
-                // A dependency was cancelled and the final record is not written yet, or this node's view of the
-                // dependencies is incomplete or too old.
-                job != null && !freshness.mayReportOpen(job) -> {
-                    jobStore.dependencies.readSoon(job)
-                    deferred.add(poll)
-                }
-
-                else -> {
-                    batch.add(poll, job)
-                }
+                endedResponse != null -> poll.respond(endedResponse)
+                job == null -> batch.addUnknown(poll)
+                !addOpen(poll, job, batch) -> deferred.add(poll)
             }
         }
         deferred.asReversed().forEach(waiting::addFirst)
         return batch
     }
 
+    /** Returns the response if the job [id] is known to have ended or to end without ever running, or null. */
+    private fun endedResponse(id: String): Response? =
+        jobStore.finalRecord(id)?.let { responses.ended(id, it) }
+            ?: jobStore.jobs[id]?.takeIf { it.hasCancelledDependency }?.let { responses.cancelledWithDependency(id) }
+
+    /**
+     * Adds [poll] for the open [job] to [batch]; returns false if this node's view of the dependencies is incomplete or
+     * too old, or if the batch has no room for their conditions. The poll then waits for the view.
+     */
+    private fun addOpen(
+        poll: Poll,
+        job: Job,
+        batch: PollBatch,
+    ): Boolean {
+        if (!freshness.mayReportOpen(job)) return false
+        val openDependencies = jobStore.dependencies.unfinishedDependencies(job).mapNotNull(jobStore.jobs::get)
+        if (!poll.waitsForView && batch.addOpen(poll, job, openDependencies)) return true
+        jobStore.refreshSoon()
+        return false
+    }
+
     private fun onCompleted(
         batch: PollBatch,
         result: TransactionResult,
@@ -150,11 +166,11 @@
 
     /** Called when the transaction has confirmed this node's view of the job of [poll]: open, or never accepted. */
     private fun onConfirmed(poll: Poll) {
-        val finalRecord = jobStore.finalRecord(poll.id)
+        val endedResponse = endedResponse(poll.id)
         val job = jobStore.jobs[poll.id]
         when {
-            finalRecord != null -> {
-                poll.respond(responses.ended(poll.id, finalRecord))
+            endedResponse != null -> {
+                poll.respond(endedResponse)
             }
 
             job != null && !freshness.mayReportOpen(job) -> {
@@ -188,6 +204,7 @@
         } else if (Keys.job(poll.id) in failedKeys) {
             lookup.respondWithState(poll.id, poll.respond) { poll.respond(responses.jobNotFound()) }
         } else {
+            if (poll.dependencyKeys.any { it in failedKeys }) poll.waitsForView = true
             waiting.addFirst(poll)
         }
     }
--- a/src/main/kotlin/ledgearch/api/UnavailableReason.kt
+++ b/src/main/kotlin/ledgearch/api/UnavailableReason.kt
@@ -28,7 +28,7 @@
     /** This node has not read yet whether a job that the job depends on is done or cancelled. */
     DEPENDENCY_UNKNOWN("dependency_unknown"),
 
-    /** A dependency was cancelled, and the final record that cancels the job itself is not durable yet. */
+    /** A dependency was cancelled, so that the job can't be reported as open. */
     DEPENDENCY_CANCELLED("dependency_cancelled"),
 
     /** Too many submissions wait for their record to be durable. */
--- a/src/main/kotlin/ledgearch/api/UserApi.kt
+++ b/src/main/kotlin/ledgearch/api/UserApi.kt
@@ -29,7 +29,7 @@
     private val limits = SubmissionLimits(deployment.teams.associateBy { it.name }, deployment.state.safeValueBytes)
     private val responses = JobResponses(leadership, settings.operator.retryAfterS, metrics)
     private val freshness = DependencyFreshness(jobStore, clock, maxViewAgeMs)
-    private val lookup = JobLookup(jobStore, freshness, responses)
+    private val lookup = JobLookup(jobStore, responses)
     private val polls = Polls(jobStore, storeClient, clock, freshness, lookup, responses)
     private val admission = DependencyAdmission(jobStore, freshness)
     private val queue = SubmissionQueue(jobStore, storeClient, leadership, clock, admission, lookup, polls, responses)
