Soak: dependencies done before a restart, cancelled chains, ended jobs, up to 400 workers

The load of the soak lacked what the two faults of this incident needed: open jobs whose dependencies were done before the controllers started, chains whose first job is cancelled while faults last, and questions about ended jobs after restarts. Every 25th seed has 400 workers.

--- a/src/test/kotlin/ledgearch/loopback/soak/SoakRun.kt
+++ b/src/test/kotlin/ledgearch/loopback/soak/SoakRun.kt
@@ -19,7 +19,7 @@
 
     companion object {
         const val DEFAULT_WORKERS = 60
-        const val MAX_WORKERS = 300
+        const val MAX_WORKERS = 400
         private const val DEFAULT_ROUNDS = 3
 
         /** Longer than a job may be left without an answer, and than one that fits may wait. */
@@ -45,22 +45,30 @@
         LoopbackCluster(folder, options.workerCount, seed = plan.seed, hasNetworkFaults = true).use { cluster ->
             cluster.start()
             cluster.await("all machines confirmed by a leader", START_TIMEOUT_MS) { cluster.areAllMachinesConfirmed() }
-            beginLoad(cluster)
+            val workload = beginLoad(cluster)
             Thread.sleep(LOAD_BEFORE_FAULTS_MS)
             SoakFaultInjector(cluster, plan).run()
             observe(cluster)
-            problemsOf(cluster)
+            problemsOf(cluster, workload.pastJobs)
         }
 
-    private fun beginLoad(cluster: LoopbackCluster) =
+    private fun beginLoad(cluster: LoopbackCluster): ProductionWorkload =
         cluster.simulation.call {
             val simulation = cluster.simulation
             val workload = ProductionWorkload(simulation)
             simulation.users.rapidPollShare = RAPID_POLL_SHARE
             simulation.users.cancelAtEndShare = CANCEL_AT_END_SHARE
             workload.submitLong(LONG_JOBS, LONG_JOB_INTERVAL_MS)
+            workload.submitLongDependents(DEPENDENT_JOBS, LONG_JOB_INTERVAL_MS)
+            workload.submitCancelledChains(CANCELLED_CHAINS, CHAIN_LENGTH, CHAIN_CANCELLED_AFTER_MS)
             workload.submit(JOB_GROUPS, JOB_GROUP_INTERVAL_MS)
-            AskingUsers(simulation, ASK_INTERVAL_MS) { cluster.servingControllers() }.begin()
+            askingUsers(cluster).begin()
+            workload
+        }
+
+    private fun askingUsers(cluster: LoopbackCluster) =
+        AskingUsers(cluster.simulation, ASK_INTERVAL_MS) {
+            cluster.servingControllers()
         }
 
     private fun observe(cluster: LoopbackCluster) {
@@ -68,45 +76,42 @@
         simulation.call {
             simulation.invariants.unansweredJobs.watch(simulation.clock.nowMs)
             simulation.invariants.watchStarvation()
+            askingUsers(cluster).askAboutEnded()
         }
         Thread.sleep(options.observedMs)
     }
 
-    private fun problemsOf(cluster: LoopbackCluster): List<String> {
+    private fun problemsOf(
+        cluster: LoopbackCluster,
+        pastJobs: Set<String>,
+    ): List<String> {
         val simulation = cluster.simulation
-        val (violations, unserved) = simulation.call { simulation.invariants.violations.toList() to unserved(cluster) }
+        val (violations, unserved) =
+            simulation.call {
+                simulation.invariants.violations.toList() to
+                    unserved(cluster, pastJobs)
+            }
         summary = simulation.call { simulation.invariants.summary }
-        val ended =
-            cluster.controllers.values
-                .filterNot { it.isAlive }
-                .map { "${it.name} ended by itself" }
-        return violations + unserved + ended + cluster.controllers.keys.flatMap { defectsLogged(cluster, it) }
+        val ended = SoakChecks.endedByThemselves(cluster.controllers.mapValues { it.value.isAlive })
+        val defects = cluster.controllers.keys.flatMap { SoakChecks.loggedDefects(it, cluster.logOf(it)) }
+        return violations + unserved + ended + defects
     }
 
-    /** Returns a problem if less than half of the arrays that nobody cancelled and that wait for nothing are done. */
-    private fun unserved(cluster: LoopbackCluster): List<String> {
+    /** Considers the arrays that nobody cancelled, that wait for nothing, and that take at most [MAX_RUN_S]. */
+    private fun unserved(
+        cluster: LoopbackCluster,
+        pastJobs: Set<String>,
+    ): List<String> {
         val invariants = cluster.simulation.invariants
         val arrays =
             invariants.submittedJobs.values.filter {
                 it.kind == JobKind.ARRAY && it.dependsOn.isNullOrEmpty() &&
                     invariants.isAccepted(it.id) && !invariants.isCancelRequested(it.id) &&
-                    it.estimatedRunTimeS <= MAX_RUN_S
+                    it.estimatedRunTimeS <= MAX_RUN_S && it.id !in pastJobs
             }
-        val done = arrays.count { invariants.isObservedDone(it.id) }
-        return if (done * 2 <
-            arrays.size
-        ) {
-            listOf("served: only $done of ${arrays.size} arrays are done")
-        } else {
-            emptyList()
-        }
+        return SoakChecks.unserved(arrays.size, arrays.count { invariants.isObservedDone(it.id) })
     }
 
-    private fun defectsLogged(
-        cluster: LoopbackCluster,
-        name: String,
-    ) = cluster.logOf(name).filter { line -> DEFECTS.any { it in line } }.map { "$name logged: $it" }
-
     private companion object {
         const val START_TIMEOUT_MS = 60_000L
         const val LOAD_BEFORE_FAULTS_MS = 5_000L
@@ -114,6 +119,14 @@
         /** With the default number of workers all jobs of the load have room. */
         const val LONG_JOBS = 60
         const val LONG_JOB_INTERVAL_MS = 50L
+
+        /** More than the final records that a controller reads by key after a restart. */
+        const val DEPENDENT_JOBS = 40
+        const val CANCELLED_CHAINS = 4
+        const val CHAIN_LENGTH = 5
+
+        /** While the faults last. */
+        const val CHAIN_CANCELLED_AFTER_MS = 15_000L
         const val JOB_GROUPS = 24
         const val JOB_GROUP_INTERVAL_MS = 2_000L
         const val ASK_INTERVAL_MS = 5_000L
@@ -122,14 +135,5 @@
 
         /** Longer than the arrays of the load that are to be done within the run. */
         const val MAX_RUN_S = 60.0
-
-        /** Parts of log lines that tell of a defect. */
-        val DEFECTS =
-            listOf(
-                "a step of the owner failed",
-                "unhandled exception",
-                "fatal error",
-                "requests to the state service are passed over",
-            )
     }
 }
--- a/src/test/kotlin/ledgearch/loopback/soak/SoakTest.kt
+++ b/src/test/kotlin/ledgearch/loopback/soak/SoakTest.kt
@@ -35,7 +35,7 @@
                 mapOf("seeds" to "9-3") to "seeds must be a number or a range such as 1-50, not '9-3'",
                 mapOf("seeds" to "1-2-3") to "seeds must be a number or a range such as 1-50, not '1-2-3'",
                 mapOf("seeds" to "1-5000") to "at most 1000 seeds at once, not '1-5000'",
-                mapOf("workers" to "0") to "workers must be from 1 to 300, not '0'",
+                mapOf("workers" to "0") to "workers must be from 1 to 400, not '0'",
                 mapOf("jobs" to "many") to "jobs must be from 1 to 16, not 'many'",
             )
         for ((properties, message) in wrong) {
--- a/src/test/kotlin/ledgearch/simulation/invariants/UnansweredJobs.kt
+++ b/src/test/kotlin/ledgearch/simulation/invariants/UnansweredJobs.kt
@@ -8,6 +8,7 @@
     private val reportViolation: (rule: String, details: String) -> Unit,
 ) {
     private val answeredAtMs = HashMap<String, Long>()
+    private val answered = HashSet<String>()
     private val reported = HashSet<String>()
     private var watchedSinceMs = Long.MAX_VALUE
 
@@ -34,12 +35,18 @@
         val sinceMs = answeredAtMs.getOrPut(job) { nowMs }
         val stretchMs = nowMs - sinceMs
         longestMs = maxOf(longestMs, stretchMs)
-        if (isAnswered) answeredAtMs[job] = nowMs
+        if (isAnswered) {
+            answeredAtMs[job] = nowMs
+            answered.add(job)
+        }
         if (!isAnswered && stretchMs >= FORGOTTEN_AFTER_MS && reported.add(job)) {
             reportViolation("forgotten", "$job: every question failed for $stretchMs ms")
         }
     }
 
+    /** Returns whether a question about [job] has had an answer since [watch]. */
+    fun isAnswered(job: String) = job in answered
+
     companion object {
         const val FORGOTTEN_AFTER_MS = 75_000L
     }
--- a/src/test/kotlin/ledgearch/simulation/scenarios/AskingUsers.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/AskingUsers.kt
@@ -27,6 +27,19 @@
         clock.after(LOOK_INTERVAL_MS) { begin() }
     }
 
+    /** Asks about each job that has ended, again every [intervalMs] until there is an answer. */
+    fun askAboutEnded() = invariants.acceptedJobs.filter(invariants::isObservedEnded).forEach(::askUntilAnswered)
+
+    private fun askUntilAnswered(job: String) {
+        clock.after(simulation.random.nextLong(intervalMs)) { askAndRepeatUntilAnswered(job) }
+    }
+
+    private fun askAndRepeatUntilAnswered(job: String) {
+        if (invariants.unansweredJobs.isAnswered(job)) return
+        ask(job, controllers().shuffled(simulation.random))
+        clock.after(intervalMs) { askAndRepeatUntilAnswered(job) }
+    }
+
     private fun askRepeatedly(job: String) {
         clock.after(simulation.random.nextLong(intervalMs)) { askAndRepeat(job) }
     }
--- a/src/test/kotlin/ledgearch/simulation/scenarios/ProductionWorkload.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/ProductionWorkload.kt
@@ -24,6 +24,10 @@
     private val arrays = ArrayList<String>()
     private val usedNumbers = HashSet<Int>()
 
+    /** Jobs that ended before the simulation began. */
+    val pastJobs: Set<String> get() = addedPastJobs
+    private val addedPastJobs = HashSet<String>()
+
     /** The last array of [submitLong] that has no dependencies. */
     private var lastLongArray: String? = null
 
@@ -35,6 +39,7 @@
 
     private fun addPastJob(state: JobState): String {
         val job = newName()
+        addedPastJobs.add(job)
         simulation.store.write("w/d/$job", """{"st":"${state.text}","n":1}""")
         simulation.invariants.recordPastJob(arraySpec(emptyList()).copy(id = job, taskCount = 1), state)
         return job
@@ -70,6 +75,19 @@
         everyMs: Long,
     ) = repeat(count) { i -> clock.after(i * everyMs) { users.submit(longSpec(listOf(addPastJob(JobState.DONE)))) } }
 
+    /** Submits [count] chains of a long job and [dependents] jobs after it, and cancels the long ones [delayMs] later. */
+    fun submitCancelledChains(
+        count: Int,
+        dependents: Int,
+        delayMs: Long,
+    ) = repeat(count) {
+        val first = longSpec(emptyList())
+        users.submit(first)
+        var previous = first.id
+        repeat(dependents) { previous = longSpec(listOf(previous)).also { users.submit(it) }.id }
+        clock.after(delayMs) { whenAccepted(first.id) { cancel(first.id) } }
+    }
+
     /** Polls every accepted job that no reply has reported as ended, once in each [everyMs]. */
     fun pollOpen(everyMs: Long) {
         val openJobs = simulation.invariants.acceptedJobs.filter { !simulation.invariants.isObservedEnded(it) }
--- a/src/test/kotlin/ledgearch/tools/Soak.kt
+++ b/src/test/kotlin/ledgearch/tools/Soak.kt
@@ -12,8 +12,9 @@
 
 /**
  * Runs the soak on real processes for a range of seeds: `java -Dseeds=1-50 -Djobs=4 -Dworkers=60 -cp ...
- * ledgearch.tools.SoakKt`. Every tenth seed has [MANY_WORKERS] workers unless `workers` is given. The exit code is 1 if
- * a seed failed and 2 if an option is wrong; the logs of a failed seed are kept under `target/soak`.
+ * ledgearch.tools.SoakKt`. Every tenth seed has [MANY_WORKERS] workers, and every 25th
+ * [SoakOptions.MAX_WORKERS], unless `workers` is given. The exit code is 1 if a seed failed and 2 if an option is wrong;
+ * the logs of a failed seed are kept under `target/soak`.
  */
 fun main() {
     val command =
@@ -81,8 +82,13 @@
     }
 
     private fun workersOf(seed: Long): Int {
+        val hasMostWorkers = seed % MOST_WORKERS_ONE_IN == 0L
         val hasManyWorkers = seed % MANY_WORKERS_ONE_IN == 0L
-        return if (hasManyWorkers) MANY_WORKERS else SoakOptions.DEFAULT_WORKERS
+        return when {
+            hasMostWorkers -> SoakOptions.MAX_WORKERS
+            hasManyWorkers -> MANY_WORKERS
+            else -> SoakOptions.DEFAULT_WORKERS
+        }
     }
 
     companion object {
@@ -92,6 +98,7 @@
         private const val MAX_JOBS = 16
         private const val MAX_PRINTED_PROBLEMS = 12
         private const val MANY_WORKERS_ONE_IN = 10L
+        private const val MOST_WORKERS_ONE_IN = 25L
 
         /** Returns the command that [properties] describe; throws [IllegalArgumentException] if one is wrong. */
         fun parse(properties: Map<String, String>): SoakCommand {
