Final records that are passed over are counted and logged

FinalRecordReaderTest plants an order of pages that passes over a record and sees it counted. Also removes what the soak had twice or never read.

--- a/src/main/kotlin/ledgearch/api/PollBatch.kt
+++ b/src/main/kotlin/ledgearch/api/PollBatch.kt
@@ -16,7 +16,7 @@
     /** Keys of the open records of the job's dependencies that the conditions for this poll compare. */
     var dependencyKeys: Set<String> = emptySet()
 
-    /** Whether this node's view of a dependency was found to be outdated: only a newer view can confirm the job. */
+    /** Whether only a newer view can confirm the job: that of a dependency is outdated, or they are too many. */
     var waitsForView = false
 }
 
@@ -42,7 +42,7 @@
     /**
      * Adds [poll] for [job], which is open in this node's view, and so are its unfinished [dependencies], direct and
      * indirect: another node may report the job as cancelled as soon as one of them is. Returns false if there is no
-     * room for the conditions.
+     * room left for the conditions, and sets [Poll.waitsForView] if an empty batch has none either.
      */
     fun addOpen(
         poll: Poll,
@@ -52,7 +52,10 @@
         val revisions = LinkedHashMap<String, Long>()
         for (open in sequenceOf(job) + dependencies) {
             revisions[Keys.job(open.id)] = open.modRevision
-            if (revisions.size > maxConditions) return false
+            if (revisions.size > maxConditions) {
+                poll.waitsForView = true
+                return false
+            }
         }
         if (keyRevisions.size + revisions.keys.count { it !in keyRevisions } > maxConditions) return false
         polls.add(poll)
--- a/src/main/kotlin/ledgearch/api/Polls.kt
+++ b/src/main/kotlin/ledgearch/api/Polls.kt
@@ -136,7 +136,7 @@
         if (!freshness.mayReportOpen(job)) return false
         val openDependencies = jobStore.dependencies.unfinishedDependencies(job).mapNotNull(jobStore.jobs::get)
         if (!poll.waitsForView && batch.addOpen(poll, job, openDependencies)) return true
-        jobStore.refreshSoon()
+        if (poll.waitsForView) jobStore.refreshSoon()
         return false
     }
 
--- a/src/main/kotlin/ledgearch/control/Controller.kt
+++ b/src/main/kotlin/ledgearch/control/Controller.kt
@@ -113,8 +113,8 @@
     /** Records that a user's request was rejected because the owner's queue was full. */
     fun recordOverload() = metrics.count("unavailable.owner_queue_full")
 
-    /** Whether no request to the state service was ever passed over although it could be sent. */
-    val hasFairStoreQueue: Boolean get() = storeClient.isFair
+    /** Whether no request to the state service and no wanted final record was ever passed over by others. */
+    val hasFairQueues: Boolean get() = storeClient.isFair && jobStore.passedOverCount == 0L
 
     /** Returns whether the counts kept of machines, teams and jobs equal a recount; true unless this node leads. */
     fun hasConsistentCounts(): Boolean = !election.isLeader || leader.hasConsistentCounts()
--- a/src/main/kotlin/ledgearch/jobs/DependencyReport.kt
+++ b/src/main/kotlin/ledgearch/jobs/DependencyReport.kt
@@ -10,4 +10,6 @@
     val awaited: Int,
     /** Time in ms for which the oldest has been awaited, or 0. */
     @SerialName("oldest_ms") val oldestMs: Long,
+    /** How often a wanted final record was passed over by others; not 0 is a defect. */
+    @SerialName("passed_over") val passedOver: Long,
 )
--- a/src/main/kotlin/ledgearch/jobs/FinalRecordReader.kt
+++ b/src/main/kotlin/ledgearch/jobs/FinalRecordReader.kt
@@ -11,6 +11,7 @@
 import ledgearch.store.StoreTuning
 import ledgearch.wire.KeyPage
 import ledgearch.wire.KeyValue
+import org.slf4j.LoggerFactory
 import java.util.TreeMap
 
 /** Who waits for the read of a final record. */
@@ -27,13 +28,13 @@
  * the order of the keys, one page at a time: a page decides about every wanted record in its range, so that the number
  * of requests is bounded by the pages of all final records too.
  *
- * Pages take turns: one begins at the record that a user has waited for longest, the next one where the last such round
- * over all wanted records has come to. Every wanted record is therefore reached after at most twice as many pages as
- * there are wanted records.
+ * The pages take [turns], so that every wanted record is reached after at most twice as many pages as there are wanted
+ * records. This is checked, see [passedOverCount].
  */
 internal class FinalRecordReader(
     private val storeClient: StoreClient,
     private val clock: Clock,
+    private val turns: PageTurns = AlternatingPageTurns(),
     private val onFinalRecord: (String, FinalRecord) -> Unit,
 ) {
     /** A read that waits for its result; the result of a request sent before it, by [sequence], does not count. */
@@ -41,6 +42,8 @@
         val sequence: Long,
         /** Steady-clock time after which the read fails. */
         val deadlineMs: Long,
+        /** Number of pages read before. */
+        val pageCount: Long,
         val done: (JobReadResult) -> Unit,
     ) {
         val isForUser: Boolean get() = deadlineMs != Long.MAX_VALUE
@@ -59,11 +62,18 @@
     private var retryAtMs = Long.MIN_VALUE
     private var nextExpiryAtMs = Long.MIN_VALUE
 
-    /** Whether the last page began at a record that a user waits for. */
-    private var wasUserPage = false
+    private val log = LoggerFactory.getLogger("ledgearch.jobs")
 
-    /** The last job id that the rounds over all wanted records have reached. */
-    private var roundReachedId = ""
+    /** Number of pages read so far. */
+    private var pageCount = 0L
+
+    /** The largest number of wanted records since none was wanted. */
+    private var mostWanted = 0
+    private var nextPassedOverLogMs = Long.MIN_VALUE
+
+    /** How often a wanted record was passed over for more pages than allowed; not 0 is a defect. */
+    var passedOverCount = 0L
+        private set
 
     /** Reads the final record of the job [id]. Its absence does not show whether the job was accepted. */
     fun read(
@@ -73,7 +83,7 @@
     ) {
         val isForUser = use == FinalRecordUse.USER_REQUEST
         val deadlineMs = if (isForUser) clock.steadyMs + StoreTuning.REQUEST_TIMEOUT_MS else Long.MAX_VALUE
-        wanted.getOrPut(id) { ArrayList() }.add(PendingRead(sequence++, deadlineMs, done))
+        wanted.getOrPut(id) { ArrayList() }.add(PendingRead(sequence++, deadlineMs, pageCount, done))
         if (isForUser) userIds.add(id)
         if (isForUser && mayReadSingly()) readAllSingly()
     }
@@ -86,6 +96,7 @@
     /** Sends the next requests, and fails the reads that users have waited for too long. */
     fun runDueWork() {
         failExpired()
+        if (wanted.isEmpty()) mostWanted = 0
         if (wanted.isEmpty() || isPageInFlight || clock.steadyMs < retryAtMs) return
         if (mayReadSingly()) readAllSingly() else readPage()
     }
@@ -119,7 +130,7 @@
 
     private fun readPage() {
         isPageInFlight = true
-        val firstId = nextPageStart()
+        val firstId = turns.nextStart(wanted.navigableKeySet(), userIds)
         val sentSequence = sequence
         storeClient.list(Keys.FINALS, keyBefore(firstId), RequestClass.ORDINARY, PAGE_SIZE) { result ->
             isPageInFlight = false
@@ -131,13 +142,6 @@
         }
     }
 
-    private fun nextPageStart(): String {
-        val userId = userIds.firstOrNull { it in wanted }
-        wasUserPage = userId != null && !wasUserPage
-        if (userId != null && wasUserPage) return userId
-        return wanted.higherKey(roundReachedId) ?: wanted.firstKey()
-    }
-
     /** Ends the reads in the range of [page], which begins at the job [firstId]. */
     private fun applyPage(
         firstId: String,
@@ -146,7 +150,8 @@
     ) {
         val records = page.pairs.associateBy { it.key.removePrefix(Keys.FINALS) }
         val lastId = if (page.hasNext) records.keys.last() else wanted.lastKeyOr(firstId)
-        if (!wasUserPage) roundReachedId = if (page.hasNext) lastId else ""
+        turns.onPageRead(lastId.takeIf { page.hasNext })
+        checkNonePassedOver()
         if (lastId < firstId) return
         for (id in wanted.subMap(firstId, true, lastId, true).keys.toList()) {
             val outcome = records[id]?.let { decode(id, it) } ?: JobReadResult.Absent
@@ -154,6 +159,17 @@
         }
     }
 
+    private fun checkNonePassedOver() {
+        pageCount++
+        mostWanted = maxOf(mostWanted, wanted.size)
+        val oldestPageCount = wanted.values.minOfOrNull { it.first().pageCount } ?: return
+        if (pageCount - oldestPageCount <= PAGES_PER_WANTED_RECORD * mostWanted) return
+        passedOverCount++
+        if (clock.steadyMs < nextPassedOverLogMs) return
+        nextPassedOverLogMs = clock.steadyMs + StoreTuning.PASSED_OVER_LOG_INTERVAL_MS
+        log.error("final records are passed over; wanted={} count={}", wanted.size, passedOverCount)
+    }
+
     /** Fails the reads that users wait for; those for the dependencies stay and are repeated. */
     private fun onPageFailed(sentSequence: Long) {
         retryAtMs = clock.steadyMs + StoreTuning.RETRY_DELAY_MS
@@ -188,6 +204,9 @@
     }
 
     private companion object {
+        /** Rounds over all wanted records take turns with the pages for users. */
+        const val PAGES_PER_WANTED_RECORD = 2
+
         const val PAGE_SIZE = JobsTuning.FINAL_RECORDS_PER_PAGE
 
         /** Sorts after every character of a job id. */
--- a/src/main/kotlin/ledgearch/jobs/JobDependencies.kt
+++ b/src/main/kotlin/ledgearch/jobs/JobDependencies.kt
@@ -120,7 +120,7 @@
     /** Returns how many final records are awaited, and for how long. */
     fun report(): DependencyReport {
         val oldestSinceMs = awaitedSinceMs.values.minOrNull() ?: clock.steadyMs
-        return DependencyReport(awaitedSinceMs.size, clock.steadyMs - oldestSinceMs)
+        return DependencyReport(awaitedSinceMs.size, clock.steadyMs - oldestSinceMs, finalRecordReader.passedOverCount)
     }
 
     /** Returns whether every unfinished dependency of [job], direct or indirect, is known to this node as open. */
--- a/src/main/kotlin/ledgearch/jobs/JobStore.kt
+++ b/src/main/kotlin/ledgearch/jobs/JobStore.kt
@@ -44,6 +44,9 @@
     /** Reads the records of single jobs directly, independent of the watch. */
     val recordReader: JobRecordReader get() = openJobs.recordReader
 
+    /** How often a wanted final record was passed over by others; not 0 is a defect. */
+    val passedOverCount: Long get() = openJobs.finalRecordReader.passedOverCount
+
     /** The dependencies between the open jobs. */
     val dependencies: JobDependencies get() = openJobs.dependencies
 
--- a/src/main/kotlin/ledgearch/jobs/OpenJobs.kt
+++ b/src/main/kotlin/ledgearch/jobs/OpenJobs.kt
@@ -23,7 +23,7 @@
     private val finalRecords = LruMap<String, FinalRecord>(finalRecordCacheSize)
 
     /** Reads final records for users and for the dependencies. */
-    val finalRecordReader = FinalRecordReader(storeClient, clock, ::addFinalRecord)
+    val finalRecordReader = FinalRecordReader(storeClient, clock, onFinalRecord = ::addFinalRecord)
 
     /** Reads the records of single jobs directly, independent of the watch. */
     val recordReader = JobRecordReader(storeClient, finalRecordReader)
--- a/src/test/kotlin/ledgearch/jobs/FinalRecordReaderTest.kt
+++ b/src/test/kotlin/ledgearch/jobs/FinalRecordReaderTest.kt
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.util.NavigableSet
 import java.util.TreeMap
 
 /** Final records are read in bulk, in turn, and never from a page that was requested too early. */
@@ -45,6 +46,17 @@
     private val ended = ArrayList<String>()
     private val reader = FinalRecordReader(client, clock) { id, _ -> ended.add(id) }
 
+    /** A planted defect: each page begins at the first wanted record. */
+    private val unfairTurns =
+        object : PageTurns {
+            override fun nextStart(
+                wanted: NavigableSet<String>,
+                userIds: Collection<String>,
+            ) = wanted.first()
+
+            override fun onPageRead(lastId: String?) = Unit
+        }
+
     private fun replyTo(target: String): Reply {
         if ("since=" !in target) {
             val value = stored[target.removePrefix("/keys/")] ?: return Reply(StoreStatus.NOT_FOUND, "{}")
@@ -130,8 +142,33 @@
         assertEquals(JobReadResult.Absent, result)
     }
 
+    @Test
+    fun `an order of pages that passes over a record is reported`() {
+        assertTrue(passedOverCount(unfairTurns) > 0)
+        assertEquals(0, passedOverCount(AlternatingPageTurns()))
+    }
+
+    /** Returns the count when records at the head are wanted again and again, and one at the end once. */
+    private fun passedOverCount(turns: PageTurns): Long {
+        pageSize = 2
+        addFinalRecords(0 until 1_000)
+        val slowClient = StoreClient("state", StateLimits(SLOW_RPS, SLOW_RPS, 8.0, 16), 1, transport, clock)
+        val reader = FinalRecordReader(slowClient, clock, turns) { _, _ -> }
+        reader.read(id(999), FinalRecordUse.DEPENDENCIES) { }
+        repeat(400) {
+            (0 until 30).forEach { reader.read(id(it), FinalRecordUse.DEPENDENCIES) { } }
+            clock.steadyMs += TICK_MS
+            reader.runDueWork()
+            slowClient.sendAllowed()
+        }
+        return reader.passedOverCount
+    }
+
     private companion object {
         const val RPS = 1_000.0
+
+        /** About one request in each tick. */
+        const val SLOW_RPS = 20.0
         const val TICK_MS = 50L
     }
 }
--- a/src/test/kotlin/ledgearch/loopback/soak/SoakChecks.kt
+++ b/src/test/kotlin/ledgearch/loopback/soak/SoakChecks.kt
@@ -9,6 +9,7 @@
             "unhandled exception",
             "fatal error",
             "requests to the state service are passed over",
+            "final records are passed over",
         )
 
     /** Returns a problem if less than half of [arrayCount] arrays are done, which nobody cancelled. */
--- a/src/test/kotlin/ledgearch/loopback/soak/SoakFault.kt
+++ b/src/test/kotlin/ledgearch/loopback/soak/SoakFault.kt
@@ -69,7 +69,5 @@
     val kind: SoakFaultKind,
     val durationMs: Long,
 ) {
-    val endMs: Long get() = atMs + durationMs
-
     override fun toString() = "$atMs ms: $kind for $durationMs ms"
 }
--- a/src/test/kotlin/ledgearch/loopback/soak/SoakPlan.kt
+++ b/src/test/kotlin/ledgearch/loopback/soak/SoakPlan.kt
@@ -10,9 +10,6 @@
     /** The faults in the order in which they begin. */
     val faults: List<SoakFault>
 
-    /** The time at which the last fault has ended. */
-    val endMs: Long get() = faults.maxOf { it.endMs }
-
     init {
         val random = Random(seed)
         faults = List(rounds) { drawRound(random, it * ROUND_INTERVAL_MS) }.flatten().sortedBy { it.atMs }
--- a/src/test/kotlin/ledgearch/loopback/soak/SoakRun.kt
+++ b/src/test/kotlin/ledgearch/loopback/soak/SoakRun.kt
@@ -9,7 +9,6 @@
 /** Size and duration of a soak run. */
 internal class SoakOptions(
     val workerCount: Int = DEFAULT_WORKERS,
-    val rounds: Int = DEFAULT_ROUNDS,
     /** Time for which users are watched once all faults are over. */
     val observedMs: Long = DEFAULT_OBSERVED_MS,
 ) {
@@ -20,7 +19,6 @@
     companion object {
         const val DEFAULT_WORKERS = 60
         const val MAX_WORKERS = 400
-        private const val DEFAULT_ROUNDS = 3
 
         /** Longer than a job may be left without an answer, and than one that fits may wait. */
         private const val DEFAULT_OBSERVED_MS = 95_000L
--- a/src/test/kotlin/ledgearch/loopback/soak/SoakTest.kt
+++ b/src/test/kotlin/ledgearch/loopback/soak/SoakTest.kt
@@ -17,7 +17,7 @@
     @Timeout(TEST_TIMEOUT_S)
     fun `no rule breaks and no job is left unanswered on real processes under overlapping faults`() {
         val plan = SoakPlan(SEED, ROUNDS)
-        val problems = SoakRun(plan, SoakOptions(rounds = ROUNDS, observedMs = OBSERVED_MS), folder).run()
+        val problems = SoakRun(plan, SoakOptions(observedMs = OBSERVED_MS), folder).run()
         assertEquals(emptyList<String>(), problems, "plan of $plan")
     }
 
--- a/src/test/kotlin/ledgearch/simulation/SimulatedNode.kt
+++ b/src/test/kotlin/ledgearch/simulation/SimulatedNode.kt
@@ -81,8 +81,10 @@
         if (controller?.hasConsistentCounts() == false) {
             simulation.reportViolation("$name has counters that differ from a recount")
         }
-        if (controller?.hasFairStoreQueue == false) {
-            simulation.reportViolation("$name passed over requests to the state service that it could send")
+        if (controller?.hasFairQueues == false) {
+            simulation.reportViolation(
+                "$name passed over requests to the state service that it could send, or final records",
+            )
         }
         standby?.let { simulation.replicaInvariant.check(name, it) }
         clock.after(TICK_MS) { tick(tickingInstance) }
--- a/src/test/kotlin/ledgearch/simulation/scenarios/ProductionWorkload.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/ProductionWorkload.kt
@@ -75,7 +75,7 @@
         everyMs: Long,
     ) = repeat(count) { i -> clock.after(i * everyMs) { users.submit(longSpec(listOf(addPastJob(JobState.DONE)))) } }
 
-    /** Submits [count] chains of a long job and [dependents] jobs after it, and cancels the long ones [delayMs] later. */
+    /** Submits [count] chains of a long job and [dependents] jobs after it; cancels the first ones [delayMs] later. */
     fun submitCancelledChains(
         count: Int,
         dependents: Int,
--- a/src/test/kotlin/ledgearch/simulation/scenarios/StateExpectations.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/StateExpectations.kt
@@ -1,6 +1,7 @@
 package ledgearch.simulation.scenarios
 
 import ledgearch.simulation.Simulation
+import ledgearch.simulation.invariants.UnansweredJobs
 import ledgearch.wire.JobState
 
 /** Expectations on the states of jobs in replies to polls. */
@@ -26,7 +27,7 @@
 
     private fun checkEveryoneKnown() {
         invariants.acceptedJobs.forEach { job ->
-            expectKnown(job, simulation.clock.nowMs + FORGOTTEN_AFTER_MS) {
+            expectKnown(job, simulation.clock.nowMs + UnansweredJobs.FORGOTTEN_AFTER_MS) {
                 compare("everyone known", "no reply with status 200 for $job", false)
             }
         }
@@ -131,9 +132,6 @@
 
     private companion object {
         const val MAX_TRIES = 4
-
-        /** A job whose polls all fail for so long counts as forgotten. */
-        const val FORGOTTEN_AFTER_MS = 75_000L
         const val POLL_INTERVAL_MS = 5_000L
     }
 }
--- a/src/test/kotlin/ledgearch/tools/Soak.kt
+++ b/src/test/kotlin/ledgearch/tools/Soak.kt
@@ -12,9 +12,9 @@
 
 /**
  * Runs the soak on real processes for a range of seeds: `java -Dseeds=1-50 -Djobs=4 -Dworkers=60 -cp ...
- * ledgearch.tools.SoakKt`. Every tenth seed has [MANY_WORKERS] workers, and every 25th
- * [SoakOptions.MAX_WORKERS], unless `workers` is given. The exit code is 1 if a seed failed and 2 if an option is wrong;
- * the logs of a failed seed are kept under `target/soak`.
+ * ledgearch.tools.SoakKt`. Every tenth seed has [MANY_WORKERS] workers, and every 25th [SoakOptions.MAX_WORKERS],
+ * unless `workers` is given. The exit code is 1 if a seed failed and 2 if an option is wrong; the logs of a failed seed
+ * are kept under `target/soak`.
  */
 fun main() {
     val command =
@@ -56,7 +56,7 @@
         val folder = Files.createDirectories(LOGS.resolve("seed-$seed"))
         folder.toFile().listFiles()?.forEach { it.delete() }
         val plan = SoakPlan(seed, ROUNDS)
-        val options = SoakOptions(workers ?: workersOf(seed), ROUNDS)
+        val options = SoakOptions(workers ?: workersOf(seed))
         val run = SoakRun(plan, options, folder)
         val problems =
             try {
