--- a/src/main/kotlin/ledgearch/jobs/FinalRecordReader.kt
+++ b/src/main/kotlin/ledgearch/jobs/FinalRecordReader.kt
@@ -28,8 +28,8 @@
  * the order of the keys, one page at a time: a page decides about every wanted record in its range, so that the number
  * of requests is bounded by the pages of all final records too.
  *
- * The pages take [turns], so that every wanted record is reached after at most twice as many pages as there are wanted
- * records. This is checked, see [passedOverCount].
+ * The pages take [turns], so that every wanted record is reached after at most two pages for each record that was
+ * wanted with it or since. This is checked, see [passedOverCount].
  */
 internal class FinalRecordReader(
     private val storeClient: StoreClient,
@@ -162,8 +162,9 @@
     private fun checkNonePassedOver() {
         pageCount++
         mostWanted = maxOf(mostWanted, wanted.size)
-        val oldestPageCount = wanted.values.minOfOrNull { it.first().pageCount } ?: return
-        if (pageCount - oldestPageCount <= PAGES_PER_WANTED_RECORD * mostWanted) return
+        val oldest = wanted.values.map { it.first() }.minByOrNull { it.sequence } ?: return
+        val wantedMeanwhile = mostWanted + (sequence - oldest.sequence)
+        if (pageCount - oldest.pageCount <= PAGES_PER_WANTED_RECORD * wantedMeanwhile) return
         passedOverCount++
         if (clock.steadyMs < nextPassedOverLogMs) return
         nextPassedOverLogMs = clock.steadyMs + StoreTuning.PASSED_OVER_LOG_INTERVAL_MS
