--- a/src/main/kotlin/ledgearch/jobs/JobDependencies.kt
+++ b/src/main/kotlin/ledgearch/jobs/JobDependencies.kt
@@ -102,7 +102,7 @@
 
     /** Reads the final records of dependencies that are neither open nor known to have ended. */
     fun runDueWork() {
-        if (dependents.isEmpty() || clock.steadyMs < nextRunAtMs) return
+        if (clock.steadyMs < nextRunAtMs || (dependents.isEmpty() && awaitedSinceMs.isEmpty())) return
         nextRunAtMs = clock.steadyMs + RuntimeTuning.TICK_INTERVAL_MS
         updateAwaited()
         awaitedSinceMs.keys
