--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -8,7 +8,7 @@
     private static final String TASK = "job-100/0";
 
     public static void main(String[] args) throws Exception {
-        List<String> zones = List.of("casa-nord", "rabat-sud");
+        List<String> zones = List.of("windhoek-a", "windhoek-b");
         Cluster cluster = new Cluster(Path.of(args[0]), zones,
             List.of(new Cluster.Team("pantry", 208, 616), new Cluster.Team("storefront-crew", 616, 1432)),
             3, 27, 52, 0.2, 200, 80, 16, 24);
--- a/review/standins/Cluster.java
+++ b/review/standins/Cluster.java
@@ -83,8 +83,8 @@
     /** Returns a port on which nothing listens and which was not returned before. */
     synchronized int nextPort() {
         while (true) {
-            // Below the ports of outgoing connections, one of which could take it before it is used; seldom those of another case.
-            int port = 12_000 + (int) (ProcessHandle.current().pid() % 20) * 1_000 + (int) (Math.random() * 1_000);
+            // Below the ports of outgoing connections and of the project's own tests; seldom those of another case.
+            int port = 5_000 + (int) (ProcessHandle.current().pid() % 7) * 1_000 + (int) (Math.random() * 1_000);
             if (!usedPorts.add(port)) continue;
             try (ServerSocket server = new ServerSocket()) {
                 server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
@@ -129,13 +129,25 @@
         for (Team team : teams) {
             teamList.add(Json.map("name", team.name(), "cpus", team.cpus(), "cpus_max", team.cpusMax(), "gpus", 0.0, "gpus_max", 0.0));
         }
-        return Json.map("initial_size", nodeCount(), "zones", zones, "teams", teamList, "objectives", List.of(),
+        return Json.map("initial_size", nodeCount(), "zones", zones, "teams", teamList, "objectives", objectives(),
             "workers", Json.map("report_s", reportMs / 1000.0, "lease_s", leaseMs / 1000.0, "gang_wait_s", 35.0, "gang_peer_s", 6.0, "cancel_s", cancelS),
             "state", Json.map("rps", stateRps, "write_rps", writeRps, "value_kb", valueKb, "txn_ops", txnOps),
             "cloud", Json.map("rps", 5.0, "list_lag_s", 3.0),
             "quota", Json.map("cpu", 0.425, "memory_mb", 325.0, "fd_limit", 3000), "clock_off_ms", 5.0);
     }
 
+    /** The aims of the brief that a controller's decisions depend on. */
+    private static List<Object> objectives() {
+        return List.of(
+            Json.map("kind", "finished", "class", "stock-count", "within_s", 120.0, "share", 0.85),
+            Json.map("kind", "finished", "class", "stock-count", "within_s", 300.0, "share", 0.975),
+            Json.map("kind", "wait", "class", "storefront", "within_s", 1.0, "share", 0.96),
+            Json.map("kind", "deadline", "class", "packing-slips", "share", 0.98, "times", 1.0),
+            Json.map("kind", "deadline", "class", "packing-slips", "share", 0.98, "times", 1.5),
+            Json.map("kind", "wait", "class", "packing-slips", "within_s", 1.0, "share", 0.9),
+            Json.map("kind", "guarantee", "within_s", 5.0, "share", 0.98));
+    }
+
     void startNode(int node) throws Exception {
         String line = Files.readAllLines(root.resolve("deploy/service.toml")).stream().filter(it -> it.startsWith("run = \"")).findFirst().orElseThrow();
         List<String> command = new ArrayList<>(List.of(line.substring(7, line.length() - 1).split(" ")));
