--- a/src/test/kotlin/ledgearch/simulation/HeartbeatFaults.kt
+++ b/src/test/kotlin/ledgearch/simulation/HeartbeatFaults.kt
@@ -45,6 +45,7 @@
         body: String,
         onReply: (Reply) -> Unit,
     ) {
+        simulation.traffic.recordHeartbeat(body)
         if (from in lostFrom || "zone-" + simulation.workers[from]?.zone in lostFrom) return
         recordForReplay(body)
         simulation.network.send(Message(from, to, "POST", "/checkin", body)) { if (from !in repliesLostTo) onReply(it) }
--- a/src/test/kotlin/ledgearch/simulation/scenarios/ClusterExpectations.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/ClusterExpectations.kt
@@ -16,6 +16,8 @@
             "quarantined" to ::checkQuarantined,
             "removed" to ::checkRemoved,
             "leader" to ::checkLeader,
+            "listed" to ::checkListed,
+            "listed-at-most" to ::checkMostListed,
         )
 
     private fun checkMachines() {
@@ -37,6 +39,18 @@
         compare("removed ${words[2]}", true, words[2] !in simulation.cloud.machineNames)
     }
 
+    /** `listed COUNT`: compares the number of tasks that workers list now, ended ones included. */
+    private fun checkListed() {
+        val count = simulation.workers.values.sumOf { it.tasks.size }
+        compare("listed ${words[2]}", count, count == words[2].toInt())
+    }
+
+    /** `listed-at-most COUNT`: compares the largest number of tasks that a worker has listed in a heartbeat so far. */
+    private fun checkMostListed() {
+        val count = simulation.traffic.maxListedTasks
+        compare("listed at most ${words[2]}", count, count <= words[2].toInt())
+    }
+
     /** `leader NODE|any|not-NODE`: compares the name in the leadership record. */
     private fun checkLeader() {
         val actual = leaderName(simulation)
--- a/src/test/kotlin/ledgearch/simulation/scenarios/NetworkSteps.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/NetworkSteps.kt
@@ -17,6 +17,8 @@
             "replay-heartbeats" to ::replayHeartbeats,
             "duplicate-heartbeats" to ::duplicateHeartbeats,
             "refuse-connections" to ::refuseConnections,
+            "repeat-commands" to ::repeatCommands,
+            "repeat-requests" to ::repeatRequests,
         )
 
     /**
@@ -92,4 +94,13 @@
         node.refusesConnections = true
         simulation.clock.at(step.parseMs(3)) { node.refusesConnections = false }
     }
+
+    /** `repeat-commands MACHINE`: repeats all direct commands that the machine has carried out. */
+    private fun repeatCommands(step: Step) = simulation.network.repeats.repeatCommands(machineName(step.words[1]))
+
+    /** `repeat-requests SHARE within S`: repeats that share of the controllers' requests after a delay of up to S. */
+    private fun repeatRequests(step: Step) {
+        simulation.network.repeats.share = step.words[1].toDouble()
+        simulation.network.repeats.maxDelayMs = step.parseMs(3)
+    }
 }
--- a/src/test/kotlin/ledgearch/simulation/scenarios/Scenario.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/Scenario.kt
@@ -53,6 +53,10 @@
     var summary = ""
         private set
 
+    /** Counts of messages and writes, set by [play]. */
+    var traffic = ""
+        private set
+
     /** Runs the scenario and returns the expectations and invariants that did not hold. */
     fun play(): List<String> {
         val simulation = newSimulation()
@@ -63,6 +67,7 @@
         steps.forEach { step -> simulation.clock.at(step.atMs) { execute(step, actions) } }
         simulation.clock.runUntil(steps.maxOf { it.atMs } + LAST_REPLIES_MS)
         summary = simulation.invariants.summary
+        traffic = simulation.traffic.toString()
         return failures + simulation.invariants.violations
     }
 
--- a/src/test/kotlin/ledgearch/tools/ProductionSearch.kt
+++ b/src/test/kotlin/ledgearch/tools/ProductionSearch.kt
@@ -8,7 +8,8 @@
 
 /**
  * Runs a scenario with several seeds and prints one line per seed. Not part of CI, since a seed takes about a minute.
- * `-Dseeds=1-20` sets the seeds, `-Dfile=PATH` another scenario. The exit code is 1 if any seed failed.
+ * `-Dseeds=1-20` sets the seeds, `-Dfile=PATH` another scenario, and `-Dtraffic=yes` also prints counts of messages and
+ * writes. The exit code is 1 if any seed failed.
  */
 fun main() {
     val seeds = System.getProperty("seeds", "1").split('-').map { it.toLong() }
@@ -21,6 +22,7 @@
         val failures = scenario.play()
         val seconds = (System.nanoTime() - startedNanos) / 1_000_000_000
         println("seed $seed: ${failures.size} failures, $seconds s, ${scenario.summary}" + formatFirst(failures))
+        if (System.getProperty("traffic") == "yes") println("  " + scenario.traffic)
         if (failures.isNotEmpty()) failedSeeds++
     }
     println("$failedSeeds seeds failed; repeat one with -Dfile=$path -Dseeds=SEED")
