Ended attempts are cleared only behind a fence

Cause: an answer was taken for a fence.

Change: TaskAttempt.isStartFenced takes the place of the unacknowledged start: an attempt that was started directly, answered or not, is cleared only once its worker has seen a higher token. StartFencing renews the leader's token for that, one write for all machines, once ended attempts have waited for a lease; at once after an unanswered start, as before. Writes that compare the token and its renewal wait for each other. With 200 unfenced attempts on a machine its starts go with heartbeat replies, which need no fence, so that lists stay bounded while the token can't be renewed. A drained machine is released with ended attempts on it, and a failure that an earlier leader left on the list is not counted again. Metrics: ended_attempts, latency clear, token.renewal.REASON.

Why it works: a worker ignores the start of an attempt that it lists, and refuses commands under a token lower than the highest that it has seen. The attempt stays listed until the second holds.

--- a/src/main/kotlin/ledgearch/agents/AgentTuning.kt
+++ b/src/main/kotlin/ledgearch/agents/AgentTuning.kt
@@ -97,6 +97,15 @@
     /** A message holds at most 64 KiB, and a command takes about 80 bytes, more with long names. */
     const val MAX_COMMANDS_PER_MESSAGE = 400
 
+    /** Leases for which ended attempts wait for a renewal of the token, after which every agent reports once more. */
+    const val FENCING_INTERVAL_LEASES = 1.0
+
+    /** Ended attempts of one machine that wait for a fence from which on the renewal is due at once. */
+    const val URGENT_UNFENCED_ATTEMPTS = 100
+
+    /** Ended attempts of a machine that wait for a fence from which on starts go with the replies to its heartbeats. */
+    const val MAX_UNFENCED_ATTEMPTS = 200
+
     /** Interval between checks for failed machines: a fraction of a heartbeat interval. */
     const val CHECK_INTERVAL_MS = 250L
 
--- a/src/main/kotlin/ledgearch/agents/CommandDispatcher.kt
+++ b/src/main/kotlin/ledgearch/agents/CommandDispatcher.kt
@@ -2,16 +2,17 @@
 
 import ledgearch.election.Election
 import ledgearch.model.Machine
-import ledgearch.model.TaskAttempt
 import ledgearch.runtime.Clock
 import ledgearch.runtime.EventLoopLagMonitor
+import ledgearch.runtime.Metrics
 import ledgearch.runtime.Transport
 import ledgearch.wire.CommandKind
+import ledgearch.wire.Heartbeat
 import ledgearch.wire.TaskCommand
 
 /**
- * Sends the leader's commands directly to the agents, and renews the token to fence starts that were not answered. It
- * also gives access to probes and to the machines that commands don't reach.
+ * Sends the leader's commands directly to the agents, and fences the starts among them ([StartFencing]). It also gives
+ * access to probes and to the machines that commands don't reach.
  */
 internal class CommandDispatcher(
     transport: Transport,
@@ -19,6 +20,8 @@
     private val clock: Clock,
     private val lagMonitor: EventLoopLagMonitor,
     private val limits: DispatchLimits,
+    private val metrics: Metrics,
+    isWritePending: () -> Boolean,
     private val listener: AgentReplyListener,
 ) {
     private val queue = DispatchQueue(clock, listener)
@@ -34,8 +37,7 @@
             listener,
         )
 
-    /** Machines that may have received a start without replying to it. */
-    private val unacknowledged = LinkedHashSet<Machine>()
+    private val fencing = StartFencing(election, clock, metrics, limits.fencingIntervalMs, isWritePending)
 
     /** Requests with direct commands in flight, without probes. */
     private var requestsInFlight = 0
@@ -48,7 +50,7 @@
         client.clear()
         queue.clear()
         probes.clear()
-        unacknowledged.clear()
+        fencing.clear()
         requestsInFlight = 0
     }
 
@@ -58,11 +60,17 @@
     /** Removes [machine], which has left the cluster. */
     fun remove(machine: Machine) {
         queue.remove(machine)
-        unacknowledged.remove(machine)
+        fencing.remove(machine)
     }
 
     /** Returns the commands that the agent of [machine] has yet to carry out, see [TaskCommands.pending]. */
-    fun pendingCommands(machine: Machine): List<TaskCommand> = TaskCommands.pending(machine)
+    fun pendingCommands(machine: Machine): List<TaskCommand> = collectPending(machine).commands
+
+    private fun collectPending(machine: Machine): PendingCommands {
+        val pending = TaskCommands.pending(machine)
+        fencing.recordUnfenced(pending)
+        return pending
+    }
 
     /** Marks [machine] as reachable; commands that were lost meanwhile are sent again. */
     fun markReachable(machine: Machine) = queue.markReachable(machine)
@@ -70,11 +78,10 @@
     /** Probes [machine] if a probe is due, see [AgentProbes.probe]. */
     fun probe(machine: Machine) = probes.probe(machine)
 
-    /** Sends pending commands, and renews the token to fence unacknowledged starts. */
+    /** Sends pending commands, and fences direct starts when that is due. */
     fun runDueWork() {
         if (!queue.isEmpty) sendPending()
-        unacknowledged.removeIf { machine -> machine.attempts.values.none { it.unacknowledgedStartToken != 0L } }
-        if (unacknowledged.any { !it.isUnreachable }) election.renewToken()
+        fencing.runDueWork()
     }
 
     private fun sendPending() {
@@ -86,41 +93,57 @@
     }
 
     private fun sendCommands(machine: Machine) {
-        val commands = pendingCommands(machine)
+        val commands = directCommands(machine)
         if (commands.isEmpty()) return
-        val started = commands.filter { it.kind == CommandKind.START }.mapNotNull { machine.attempts.get(it.attempt) }
-        started.forEach { it.isStartInFlight = true }
+        val token = election.token
+        val hasStarts = markStarts(machine, commands, token)
         machine.isCommandInFlight = true
         requestsInFlight++
-        val token = election.token
         val sentAtMs = clock.steadyMs
         client.send(machine, commands, AgentTuning.COMMAND_TIMEOUT_MS) { status ->
             machine.isCommandInFlight = false
             requestsInFlight--
-            endStarts(machine, started, token, isAnswered = status != null)
-            // A time-out while this node lagged may be this node's own and says nothing about the machine.
-            if (status == null && !lagMonitor.wasLaggingSince(sentAtMs)) queue.markUnreachable(machine)
-            if (status != null && listener.isRegistered(machine)) listener.onReply(machine, status)
+            if (status == null) {
+                if (hasStarts && listener.isRegistered(machine)) fencing.recordUnansweredStart(machine, token)
+                // A time-out while this node lagged may be this node's own and says nothing about the machine.
+                if (!lagMonitor.wasLaggingSince(sentAtMs)) queue.markUnreachable(machine)
+            } else {
+                handleReply(machine, status, token)
+            }
             if (commands.size == AgentTuning.MAX_COMMANDS_PER_MESSAGE) enqueue(machine)
         }
     }
 
     /**
-     * Marks starts sent under [token] as no longer in flight. Those without a reply may be carried out at any later
-     * time, so their token is recorded.
+     * Returns the commands to send directly. Once many ended attempts wait for a fence, starts are left to the replies
+     * to heartbeats, which need none: the agent's list stays bounded however long the token can't be renewed.
      */
-    private fun endStarts(
+    private fun directCommands(machine: Machine): List<TaskCommand> {
+        val pending = collectPending(machine)
+        if (pending.unfencedCount < AgentTuning.MAX_UNFENCED_ATTEMPTS) return pending.commands
+        metrics.count("command.starts_left_to_heartbeat")
+        return pending.commands.filter { it.kind != CommandKind.START }
+    }
+
+    /** Records that a direct command under [token] carries the starts in [commands]; returns whether there are any. */
+    private fun markStarts(
         machine: Machine,
-        started: List<TaskAttempt>,
+        commands: List<TaskCommand>,
+        token: Long,
+    ): Boolean {
+        val starts = commands.filter { it.kind == CommandKind.START }
+        starts.forEach { machine.attempts.get(it.attempt)?.directStartToken = token }
+        return starts.isNotEmpty()
+    }
+
+    /** Applies the [status] with which the agent of [machine] replied to a command sent under [token]. */
+    private fun handleReply(
+        machine: Machine,
+        status: Heartbeat,
         token: Long,
-        isAnswered: Boolean,
     ) {
-        for (attempt in started) {
-            attempt.isStartInFlight = false
-            if (!isAnswered && machine.highestSeenToken <= token && listener.isRegistered(machine)) {
-                attempt.unacknowledgedStartToken = token
-                unacknowledged.add(machine)
-            }
-        }
+        if (listener.isRegistered(machine)) listener.onReply(machine, status)
+        // The agent had already seen the renewed token and executed nothing.
+        if (status.token > token && listener.isRegistered(machine)) enqueue(machine)
     }
 }
--- a/src/main/kotlin/ledgearch/agents/DispatchLimits.kt
+++ b/src/main/kotlin/ledgearch/agents/DispatchLimits.kt
@@ -10,6 +10,8 @@
     val maxConcurrentCommands: Int,
     /** Longest time between two heartbeats of a healthy agent. */
     val maxHeartbeatIntervalMs: Long,
+    /** Time for which ended attempts wait for a renewal of the token, see [StartFencing]. */
+    val fencingIntervalMs: Long,
 ) {
     companion object {
         /** Returns the limits that follow from the quota and the worker times of [deployment]. */
@@ -18,6 +20,7 @@
                 AgentTuning.maxConcurrentProbes(deployment.quota.cpu),
                 AgentTuning.maxConcurrentCommands(deployment.quota.fdLimit),
                 (deployment.workers.heartbeatIntervalS * MS_PER_SECOND * AgentTuning.DUE_HEARTBEAT_INTERVALS).toLong(),
+                (deployment.workers.leaseS * MS_PER_SECOND * AgentTuning.FENCING_INTERVAL_LEASES).toLong(),
             )
     }
 }
--- a/src/main/kotlin/ledgearch/agents/TaskCommands.kt
+++ b/src/main/kotlin/ledgearch/agents/TaskCommands.kt
@@ -7,28 +7,62 @@
 import ledgearch.wire.CommandKind
 import ledgearch.wire.TaskCommand
 
+/** The commands that an agent has yet to carry out. */
+internal class PendingCommands(
+    /** Stops and clears first, then starts; as many as fit in a message. */
+    val commands: List<TaskCommand>,
+    /** Number of attempts that have ended, or are to, and stay since the agent could still execute a start of them. */
+    val unfencedCount: Int,
+    /** Highest token under which a direct command carried such a start, or 0. A higher token fences all of them. */
+    val newestStartToken: Long,
+) {
+    companion object {
+        /** There are no commands. */
+        val NONE = PendingCommands(emptyList(), unfencedCount = 0, newestStartToken = 0L)
+    }
+}
+
 /** Derives the commands that bring an agent's tasks to the state that the leader has decided on. */
 internal object TaskCommands {
     private const val NO_GRACE_S = 0.0
 
     /**
-     * Returns the commands that the agent of [machine] has yet to carry out, stops first, as many as fit in a message.
-     * There are none until the agent has confirmed the leader's token and the machine's record is durable. Commands are
-     * idempotent and repeated until the agent's list of tasks shows their effect.
+     * Returns the commands that the agent of [machine] has yet to carry out. There are none until the agent has
+     * confirmed the leader's token and the machine's record is durable. Commands are idempotent and repeated until the
+     * agent's list of tasks shows their effect.
      */
-    fun pending(machine: Machine): List<TaskCommand> {
-        if (!machine.isDurable || !machine.isConfirmed) return emptyList()
+    fun pending(machine: Machine): PendingCommands {
+        if (!machine.isDurable || !machine.isConfirmed) return PendingCommands.NONE
         val stops = ArrayList<TaskCommand>()
         val starts = ArrayList<TaskCommand>()
+        val unfenced = ArrayList<TaskAttempt>()
         for (attempt in machine.attempts.values) {
             when {
-                attempt.isExited -> if (mayClear(attempt)) stops.add(command(CommandKind.CLEAR, attempt))
-                attempt.stopMode != StopMode.NONE -> stopCommand(attempt)?.let { stops.add(it) }
-                !attempt.isReported -> starts.add(command(CommandKind.START, attempt))
+                attempt.isClearable && attempt.isStartFenced -> {
+                    stops.add(command(CommandKind.CLEAR, attempt))
+                }
+
+                attempt.isClearable -> {
+                    unfenced.add(attempt)
+                }
+
+                attempt.isExited -> {
+                    Unit
+                }
+
+                attempt.stopMode != StopMode.NONE -> {
+                    stopCommand(attempt)?.let { stops.add(it) }
+                    if (!attempt.isReported && !attempt.isStartFenced) unfenced.add(attempt)
+                }
+
+                !attempt.isReported -> {
+                    starts.add(command(CommandKind.START, attempt))
+                }
             }
         }
         // The rest goes with the next message.
-        return (stops + starts).take(AgentTuning.MAX_COMMANDS_PER_MESSAGE)
+        val commands = (stops + starts).take(AgentTuning.MAX_COMMANDS_PER_MESSAGE)
+        return PendingCommands(commands, unfenced.size, unfenced.maxOfOrNull { it.directStartToken } ?: 0L)
     }
 
     private fun command(
@@ -36,9 +70,6 @@
         attempt: TaskAttempt,
     ) = TaskCommand(kind, attempt.taskId, attempt.number)
 
-    private fun mayClear(attempt: TaskAttempt) =
-        attempt.isClearable && attempt.hasNoPendingStart(attempt.machine.heartbeatSequence)
-
     /** Returns the stop command for [attempt], or null while it saves the checkpoint that an earlier stop asked for. */
     private fun stopCommand(attempt: TaskAttempt): TaskCommand? {
         val graceS =
--- a/src/main/kotlin/ledgearch/agents/TaskStatusHandler.kt
+++ b/src/main/kotlin/ledgearch/agents/TaskStatusHandler.kt
@@ -59,14 +59,16 @@
     private fun removeUnlisted(machine: Machine) {
         if (machine.attempts.values.all { it.lastListedSequence == machine.lastSequence }) return
         for (attempt in machine.attempts.values.toList()) {
-            if (attempt.lastListedSequence != machine.lastSequence && !mayStillStart(attempt)) remove(attempt)
+            if (attempt.lastListedSequence == machine.lastSequence || mayStillStart(attempt)) continue
+            if (attempt.isExited) metrics.recordLatency("clear", attempt.exitedAtMs)
+            remove(attempt)
         }
     }
 
     /** Returns whether [attempt] may start later; its start is sent repeatedly until the agent lists it. */
     private fun mayStillStart(attempt: TaskAttempt): Boolean {
         if (attempt.isReported) return false
-        return attempt.stopMode == StopMode.NONE || !attempt.hasNoPendingStart(attempt.machine.heartbeatSequence)
+        return attempt.stopMode == StopMode.NONE || !attempt.isStartFenced
     }
 
     /**
@@ -103,7 +105,7 @@
             TaskState.FETCHING -> markFetching(attempt, isFirstReport)
             TaskState.RUNNING -> if (attempt.state != AttemptState.RUNNING) markRunning(attempt)
             TaskState.SAVING -> attempt.state = AttemptState.SAVING
-            TaskState.EXITED -> if (!attempt.isExited) markExited(attempt, report.cause)
+            TaskState.EXITED -> if (!attempt.isExited) markExited(attempt, report.cause, isFirstReport)
             TaskState.UNRECOGNIZED -> Unit
         }
     }
@@ -136,9 +138,11 @@
     private fun markExited(
         attempt: TaskAttempt,
         cause: ExitCause?,
+        isFirstReport: Boolean,
     ) {
         val machine = attempt.machine
         attempt.state = AttemptState.EXITED
+        attempt.exitedAtMs = clock.steadyMs
         attempt.exitCause = cause
         listener.onPlacementChanged()
         metrics.count("task.exited.${cause?.text}")
@@ -156,7 +160,8 @@
             }
 
             ExitCause.ERROR -> {
-                failures.recordFailure(machine, job)
+                // An earlier leader has drawn its conclusions from a failure that it left for the next one to clear.
+                if (!attempt.isInherited || !isFirstReport) failures.recordFailure(machine, job)
             }
 
             ExitCause.FULL, ExitCause.BUSY -> {
--- a/src/main/kotlin/ledgearch/api/LeadershipView.kt
+++ b/src/main/kotlin/ledgearch/api/LeadershipView.kt
@@ -7,8 +7,8 @@
     /** Whether this node is the leader. */
     val isLeader: Boolean
 
-    /** The condition that this node's leadership record is unchanged; meaningful only while [isLeader]. */
-    val condition: Condition
+    /** The condition that this node is the leader; null if it is not, or while the record is being rewritten. */
+    val condition: Condition?
 
     /**
      * Records that a transaction with [condition] under [sentToken], sent at [sentAtMs] on the steady clock, has
--- a/src/main/kotlin/ledgearch/api/SubmissionQueue.kt
+++ b/src/main/kotlin/ledgearch/api/SubmissionQueue.kt
@@ -94,7 +94,7 @@
     }
 
     private fun nextBatch(): SubmissionBatch {
-        val batch = SubmissionBatch(leadership.condition.takeIf { leadership.isLeader }, storeClient.maxChanges)
+        val batch = SubmissionBatch(leadership.condition, storeClient.maxChanges)
         for (submission in waiting.values.toList()) {
             if (!addToBatch(submission, batch)) break
         }
--- a/src/main/kotlin/ledgearch/autoscaling/ScaleInPlanner.kt
+++ b/src/main/kotlin/ledgearch/autoscaling/ScaleInPlanner.kt
@@ -80,7 +80,7 @@
 
     private fun isEmptyAndLeaving(machine: Machine): Boolean =
         (machine.isQuarantined || machine.isDraining) &&
-            machine.attempts.isEmpty() && machine.isConfirmed && !machine.isReleasing
+            machine.isEmpty && machine.isConfirmed && !machine.isReleasing
 
     /**
      * Drains machines, the most expensive first, if there has been no demand for a while, as long as the remaining ones
--- a/src/main/kotlin/ledgearch/control/AgentStatusHandler.kt
+++ b/src/main/kotlin/ledgearch/control/AgentStatusHandler.kt
@@ -98,11 +98,6 @@
         if (token <= machine.highestSeenToken) return
         machine.highestSeenToken = token
         if (token == election.token && machine.isConfirmed) dispatcher.markReachable(machine)
-        for (attempt in machine.attempts.values) {
-            if (attempt.unacknowledgedStartToken in 1 until machine.highestSeenToken) {
-                attempt.unacknowledgedStartToken = 0
-            }
-        }
     }
 
     /**
--- a/src/main/kotlin/ledgearch/control/ControllerComponents.kt
+++ b/src/main/kotlin/ledgearch/control/ControllerComponents.kt
@@ -194,7 +194,7 @@
 
     private inner class ElectionView : LeadershipView {
         override val isLeader get() = election.isLeader
-        override val condition: Condition get() = election.condition
+        override val condition: Condition? get() = election.condition.takeIf { isLeader && !election.isRenewingToken }
 
         override fun recordConfirmation(
             sentAtMs: Long,
--- a/src/main/kotlin/ledgearch/control/Leader.kt
+++ b/src/main/kotlin/ledgearch/control/Leader.kt
@@ -73,6 +73,8 @@
             clock,
             lagMonitor,
             DispatchLimits.of(settings.deployment),
+            metrics,
+            { recordWriter.isWritePending },
             AgentReplies(),
         )
     private val attemptControl = AttemptControl(term, dispatcher, clock, metrics)
--- a/src/main/kotlin/ledgearch/control/MetricsSource.kt
+++ b/src/main/kotlin/ledgearch/control/MetricsSource.kt
@@ -1,5 +1,6 @@
 package ledgearch.control
 
+import ledgearch.agents.EndedAttemptReport
 import ledgearch.api.UserApi
 import ledgearch.election.Election
 import ledgearch.jobs.JobStore
@@ -31,7 +32,7 @@
             token = election.token,
             openJobs = jobStore.jobs.size,
             machines = leader.machines.size,
-            tasks = leader.machines.values.sumOf { it.attempts.size },
+            tasks = leader.machines.values.sumOf { machine -> machine.attempts.values.count { !it.isExited } },
             owner = metrics.ownerLoad(),
             counters = metrics.counters(),
             latencyMs = metrics.latencies(),
@@ -40,6 +41,7 @@
             polls = pollReport(),
             dependencies = jobStore.dependencies.report(),
             pendingWrites = if (election.isLeader) leader.pendingWrites() else null,
+            endedAttempts = if (election.isLeader) EndedAttemptReport.of(leader.machines.values, clock) else null,
             store = storeClient.report(),
             standby = standby?.report(election.isLeader),
             recovery = if (election.isLeader) leader.recovery?.report() else null,
--- a/src/main/kotlin/ledgearch/election/Election.kt
+++ b/src/main/kotlin/ledgearch/election/Election.kt
@@ -48,6 +48,9 @@
     /** Whether the leadership was confirmed so recently that the leader lease can't have expired since. */
     val hasValidLease: Boolean get() = leadership.hasValidLease
 
+    /** Whether a renewal of [token] is in flight. A transaction with [condition] that is sent now would mostly fail. */
+    val isRenewingToken: Boolean get() = leadership.isRenewing
+
     /** Condition under which a transaction commits only while this node is the leader under [token]. */
     val condition: Condition get() = leadership.condition
 
@@ -107,6 +110,6 @@
     /** Claims the leadership of [leader], whose process seems to have ended, before its lease expires. */
     fun challenge(leader: String) = claim.challenge(leader)
 
-    /** Renews the fencing token of this leader, which fences direct commands that were lost in transit. */
-    fun renewToken() = renewal.renew()
+    /** Begins to renew this leader's fencing token, which fences earlier direct commands; see [TokenRenewal.renew]. */
+    fun renewToken(): Boolean = renewal.renew()
 }
--- a/src/main/kotlin/ledgearch/election/TokenRenewal.kt
+++ b/src/main/kotlin/ledgearch/election/TokenRenewal.kt
@@ -17,11 +17,11 @@
 
     /**
      * Renews the token of this leader, unless a renewal is in flight or was begun within
-     * [ElectionTuning.MIN_TOKEN_RENEWAL_INTERVAL_MS].
+     * [ElectionTuning.MIN_TOKEN_RENEWAL_INTERVAL_MS]. Returns whether it has begun one.
      */
-    fun renew() {
-        if (!leadership.isLeader || leadership.isRenewing) return
-        if (clock.steadyMs - renewedAtMs < ElectionTuning.MIN_TOKEN_RENEWAL_INTERVAL_MS) return
+    fun renew(): Boolean {
+        if (!leadership.isLeader || leadership.isRenewing) return false
+        if (clock.steadyMs - renewedAtMs < ElectionTuning.MIN_TOKEN_RENEWAL_INTERVAL_MS) return false
         leadership.beginRenewal()
         renewedAtMs = clock.steadyMs
         val oldToken = leadership.token
@@ -31,6 +31,7 @@
             leadership.endRenewal()
             handleResult(result)
         }
+        return true
     }
 
     private fun handleResult(result: TransactionResult) {
--- a/src/main/kotlin/ledgearch/model/Machine.kt
+++ b/src/main/kotlin/ledgearch/model/Machine.kt
@@ -163,6 +163,9 @@
     /** Attempts that may be on the machine, by attempt number. */
     val attempts = Long2ObjectLinkedOpenHashMap<TaskAttempt>()
 
+    /** Whether the loss of the machine would lose no attempt: all have ended, and their results are recorded. */
+    val isEmpty: Boolean get() = attempts.values.all { it.isClearable }
+
     /** Tasks that are bound to the machine and wait for free resources on it. */
     val queue = MachineQueue()
 
--- a/src/main/kotlin/ledgearch/model/TaskAttempt.kt
+++ b/src/main/kotlin/ledgearch/model/TaskAttempt.kt
@@ -29,6 +29,9 @@
             if (value != field) machine.updateCounts(this) { field = value }
         }
 
+    /** Time at which the exit was learned of; 0 before. */
+    var exitedAtMs = 0L
+
     /** Cause of the exit; null before the exit, or if the agent gave no cause. */
     var exitCause: ExitCause? = null
 
@@ -65,22 +68,21 @@
      */
     var startHeartbeatSequence = 0L
 
-    var isStartInFlight = false
-
     /**
-     * Token of a direct start command that was never answered, or 0. The agent may still execute that command until it
-     * is known to have seen a higher token or has begun a new incarnation.
+     * Token of the last direct command that carried the start, or 0. Whether answered or not, that command may be
+     * executed late or once more until the agent has seen a higher token or has begun a new incarnation.
      */
-    var unacknowledgedStartToken = 0L
+    var directStartToken = 0L
 
     /** Whether the agent may remove the attempt from its list without loss of information. */
     val isClearable: Boolean get() =
         isExited && (!isFinished || job == null || job.isClosed || job.recordedTasks.get(index))
 
     /**
-     * Returns whether no start of this attempt is still in flight, given [heartbeatSequence], that of the agent's last
-     * heartbeat. Until then, a `clear` command could let the attempt start a second time.
+     * Whether the agent can execute no start of this attempt any more. Until then a `clear` command could let the
+     * attempt start a second time.
      */
-    fun hasNoPendingStart(heartbeatSequence: Long): Boolean =
-        !isStartInFlight && unacknowledgedStartToken == 0L && heartbeatSequence > startHeartbeatSequence
+    val isStartFenced: Boolean get() =
+        (directStartToken == 0L || directStartToken < machine.highestSeenToken) &&
+            machine.heartbeatSequence > startHeartbeatSequence
 }
--- a/src/main/kotlin/ledgearch/persistence/RecordWriter.kt
+++ b/src/main/kotlin/ledgearch/persistence/RecordWriter.kt
@@ -36,7 +36,8 @@
     private var keyRevisions = KeyRevisions(storeClient)
 
     /** True while a transaction, or the reads that follow a conflict, are pending. */
-    private var isWritePending = false
+    var isWritePending = false
+        private set
     private var retryAtMs = Long.MIN_VALUE
     private val oversizedEntries = OversizedEntries(clock)
     private val machines = MachineRecords(maxValueBytes, storeClient.maxChanges, clock)
@@ -109,9 +110,9 @@
      */
     fun writeCatalog(record: CatalogRecord) = catalogWrite.put(record)
 
-    /** Writes the next batch if there are pending writes and no other transaction is pending. */
+    /** Writes the next batch if there are pending writes, and neither a transaction nor a renewal is in flight. */
     fun runDueWork() {
-        if (isWritePending || !election.isLeader || clock.steadyMs < retryAtMs) return
+        if (isWritePending || !election.isLeader || election.isRenewingToken || clock.steadyMs < retryAtMs) return
         val entries = collectEntries()
         if (entries.isNotEmpty()) write(entries)
     }
--- a/src/main/kotlin/ledgearch/runtime/Metrics.kt
+++ b/src/main/kotlin/ledgearch/runtime/Metrics.kt
@@ -12,8 +12,9 @@
  * - kinds of exchange ([recordExchange]), each with latencies and a counter `KIND.STATUS` (status 0: no reply):
  *   incoming requests by their purpose (`submit`, `poll`, `cancel` and `heartbeat`), and calls of the owner by their
  *   peer (`state`, `cloud`, `worker`);
+ * - other latencies ([recordLatency]): `clear`, from the end of an attempt until its agent no longer lists it;
  * - events ([count]): `task.started`, `task.preempted`, `task.lost`, `task.exited.CAUSE`, `machine.joined`,
- *   `machine.gone`;
+ *   `machine.gone`, `token.renewal.REASON`, `command.starts_left_to_heartbeat`;
  * - kinds of the owner's work ([measure]), such as `heartbeats`, `requests` (from users), `answers` (replies to its own
  *   calls), `state` (calls to the state service) and `placement`; one kind may include another.
  *
@@ -69,6 +70,14 @@
         startedAtMs: Long,
     ) {
         count("$kind.$status")
+        recordLatency(kind, startedAtMs)
+    }
+
+    /** Records that something of [kind] that began at [startedAtMs] (steady-clock ms) has ended now. */
+    fun recordLatency(
+        kind: String,
+        startedAtMs: Long,
+    ) {
         val latencyMs = (clock.steadyMs - startedAtMs).coerceIn(0, RuntimeTuning.MAX_RECORDED_LATENCY_MS)
         latencies.getOrPut(kind) { histogram(RuntimeTuning.MAX_RECORDED_LATENCY_MS) }.recordValue(latencyMs)
     }
--- a/src/test/kotlin/ledgearch/loopback/soak/SoakRun.kt
+++ b/src/test/kotlin/ledgearch/loopback/soak/SoakRun.kt
@@ -54,6 +54,8 @@
         cluster.simulation.call {
             val simulation = cluster.simulation
             val workload = ProductionWorkload(simulation)
+            simulation.network.repeats.share = REPEATED_SHARE
+            simulation.network.repeats.maxDelayMs = MAX_REPEAT_DELAY_MS
             simulation.users.rapidPollShare = RAPID_POLL_SHARE
             simulation.users.cancelAtEndShare = CANCEL_AT_END_SHARE
             workload.submitLong(LONG_JOBS, LONG_JOB_INTERVAL_MS)
@@ -128,6 +130,10 @@
         const val JOB_GROUPS = 24
         const val JOB_GROUP_INTERVAL_MS = 2_000L
         const val ASK_INTERVAL_MS = 5_000L
+
+        /** Share of the controllers' answered requests that are carried out once more. */
+        const val REPEATED_SHARE = 0.1
+        const val MAX_REPEAT_DELAY_MS = 12_000L
         const val RAPID_POLL_SHARE = 0.05
         const val CANCEL_AT_END_SHARE = 0.05
 
