Quarantines end with their evidence, and by trials

Cause, as a class: a verdict was kept when its evidence was gone. A quarantine was a flag that only the release of the empty machine ended. When a job turned out to fail everywhere, quarantines that rested on its failures stayed; after its delay the same job counted as unknown and was fresh evidence; with fewer than three machines it was never found out; and a cancelled job's failures kept counting.

A job that has never worked and failed on three machines, or on all (two at least) that could run it, is to blame until a task of it completes. A quarantined machine gets single waiting tasks as trials, with pauses of 5 to 30 s. It is emptied and released only if every open job could run on another machine in service, and if the evidence is certain or 20 s old. Logs and metrics: causes, ends, trials, delays.

--- a/src/main/kotlin/ledgearch/agents/AgentTuning.kt
+++ b/src/main/kotlin/ledgearch/agents/AgentTuning.kt
@@ -68,9 +68,18 @@
     /** Failures without a success between them, of jobs or of tasks, after which a machine is quarantined. */
     const val FAILURES_FOR_QUARANTINE = 2
 
-    /** Machines on which a job's tasks fail, with none completed anywhere, after which the job is delayed. */
+    /** Machines on which a job's tasks fail, with none completed between, after which the job is delayed. */
     const val FAILED_MACHINES_FOR_JOB_DELAY = 3
 
+    /** The same where fewer machines could run the job: a failure on one machine alone says nothing about the job. */
+    const val MIN_FAILED_MACHINES_FOR_JOB_DELAY = 2
+
+    /** Time after which a failure no longer counts as evidence against its machine, and a quarantine without new evidence ends. */
+    const val FAILURE_EVIDENCE_TTL_MS = 600_000L
+
+    /** Interval between checks whether trials have passed or evidence has expired. */
+    const val QUARANTINE_CHECK_INTERVAL_MS = 1_000L
+
     /** First delay of a job that fails everywhere; doubled each time up to [MAX_JOB_DELAY_MS]. */
     const val FIRST_JOB_DELAY_MS = 5_000L
 
--- a/src/main/kotlin/ledgearch/agents/TaskStatusHandler.kt
+++ b/src/main/kotlin/ledgearch/agents/TaskStatusHandler.kt
@@ -24,6 +24,9 @@
 
     /** Called when [attempt] was lost with its machine or its agent's incarnation instead of exiting. */
     fun onAttemptLost(attempt: TaskAttempt)
+
+    /** Called when the quarantine of a machine has ended, so that it gets new tasks again. */
+    fun onQuarantineEnded()
 }
 
 /** Applies the agents' lists of tasks to the leader's attempts. */
@@ -38,7 +41,13 @@
     private val listener: TaskStatusListener,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.agents")
-    private val failures = TaskFailures(machines, recordWriter, clock)
+    private val failures = TaskFailures(machines, recordWriter, metrics, clock, listener::onQuarantineEnded)
+
+    /** Ends quarantines whose time has come, when a check is due. */
+    fun reviewQuarantines() = failures.runDueWork()
+
+    /** Called when the final record of [job] is durable. */
+    fun onJobClosed(job: Job) = failures.onJobClosed(job)
 
     /** Applies [reports], which list all tasks on [machine] as of the message with its current sequence number. */
     fun reconcile(
@@ -161,7 +170,7 @@
 
             ExitCause.ERROR -> {
                 // An earlier leader has drawn its conclusions from a failure that it left for the next one to clear.
-                if (!attempt.isInherited || !isFirstReport) failures.recordFailure(machine, job)
+                if (!attempt.isInherited || !isFirstReport) failures.recordFailure(attempt, job)
             }
 
             ExitCause.FULL, ExitCause.BUSY -> {
@@ -183,12 +192,12 @@
         attempt: TaskAttempt,
         job: Job,
     ) {
-        failures.recordSuccess(attempt.machine, job)
-        if (job.isService) return
+        if (job.isService) return failures.recordSuccess(attempt, job)
         if (isRunTimeKnown(attempt, job)) {
             estimates.recordRunTime(job, (clock.steadyMs - attempt.runningSinceMs) / MS_PER_SECOND)
         }
         job.markFinished(attempt.index)
+        failures.recordSuccess(attempt, job)
         if (!job.isClosed) recordWriter.writeFinishedTasks(job)
         if (job.isComplete) recordWriter.closeJob(job, JobState.DONE)
     }
--- a/src/main/kotlin/ledgearch/autoscaling/AutoscalingTuning.kt
+++ b/src/main/kotlin/ledgearch/autoscaling/AutoscalingTuning.kt
@@ -42,6 +42,12 @@
     /** Released machines appear in late heartbeats and machine lists for some minutes. */
     const val MIN_RELEASED_NAMES_KEPT = 2_000
 
+    /**
+     * Time for which a quarantined machine is kept if no job that fails on it is known to work elsewhere: jobs that
+     * fail on every machine have shown it by then.
+     */
+    const val UNCERTAIN_QUARANTINE_MS = 20_000L
+
     // --- Planning -----------------------------------------------------------------------------------------------
 
     const val PLAN_INTERVAL_MS = 500L
--- a/src/main/kotlin/ledgearch/autoscaling/ScaleInPlanner.kt
+++ b/src/main/kotlin/ledgearch/autoscaling/ScaleInPlanner.kt
@@ -16,6 +16,8 @@
     private val log = LoggerFactory.getLogger("ledgearch.autoscaling")
     private val load = PeakLoad()
 
+    private val quarantinedMachines = QuarantinedMachines(jobStore, clock)
+
     /** The part of the load that belongs on on-demand machines. */
     private val onDemandLoad = PeakLoad()
 
@@ -65,10 +67,11 @@
     fun releaseEmpty(cluster: Cluster) {
         val inService = cluster.machines.values.filter { it.isInService }
         for (machine in cluster.machines.values.toList()) {
-            val shouldMoveReplicas =
-                machine.isQuarantined && machine.isConfirmed && cluster.replicaMover.canMoveReplicas(machine, inService)
+            if (!machine.isConfirmed || machine.isReleasing) continue
+            val leavesQuarantined = machine.isQuarantined && quarantinedMachines.mayReturn(machine, inService)
+            val shouldMoveReplicas = leavesQuarantined && cluster.replicaMover.canMoveReplicas(machine, inService)
             if (shouldMoveReplicas) cluster.replicaMover.moveReplicas(machine)
-            if (isEmptyAndLeaving(machine)) {
+            if (machine.isEmpty && (leavesQuarantined || machine.isDraining)) {
                 log.info(
                     "machine queued for release: it is drained or quarantined, and empty; machine={}",
                     machine.name,
@@ -78,10 +81,6 @@
         }
     }
 
-    private fun isEmptyAndLeaving(machine: Machine): Boolean =
-        (machine.isQuarantined || machine.isDraining) &&
-            machine.isEmpty && machine.isConfirmed && !machine.isReleasing
-
     /**
      * Drains machines, the most expensive first, if there has been no demand for a while, as long as the remaining ones
      * hold the peak load and the headroom.
--- a/src/main/kotlin/ledgearch/control/JobLifecycle.kt
+++ b/src/main/kotlin/ledgearch/control/JobLifecycle.kt
@@ -1,5 +1,6 @@
 package ledgearch.control
 
+import ledgearch.agents.TaskStatusHandler
 import ledgearch.autoscaling.Headroom
 import ledgearch.jobs.JobStore
 import ledgearch.model.AttemptState
@@ -21,6 +22,7 @@
     private val placementLoop: PlacementLoop,
     private val recordWriter: RecordWriter,
     private val headroom: Headroom,
+    private val taskStatusHandler: TaskStatusHandler,
 ) {
     private val log = LoggerFactory.getLogger("ledgearch.control")
 
@@ -105,6 +107,7 @@
     fun onClosed(job: Job) {
         if (!term.isActive) return
         job.isClosed = true
+        taskStatusHandler.onJobClosed(job)
         cancelledJobs.remove(job)
         placer.removeFromQueues(job)
         attemptControl.stopAll(job)
--- a/src/main/kotlin/ledgearch/control/Leader.kt
+++ b/src/main/kotlin/ledgearch/control/Leader.kt
@@ -179,6 +179,7 @@
             placementLoop,
             recordWriter,
             headroom,
+            taskStatusHandler,
         )
 
     /** Whether all records are loaded. Only then are machines confirmed and tasks placed. */
@@ -237,6 +238,7 @@
         metrics.measure("failure_detection") { failureDetector.runDueWork() }
         // The failure detector may have stepped down because this node receives almost no heartbeats.
         if (!election.isLeader) return
+        taskStatusHandler.reviewQuarantines()
         placementLoop.updateReliability()
         metrics.measure("placement") { placementLoop.runDueWork() }
         metrics.measure("commands") { dispatcher.runDueWork() }
@@ -285,6 +287,11 @@
         override fun onAttemptLost(attempt: TaskAttempt) {
             recovery?.onAttemptLost(attempt)
         }
+
+        override fun onQuarantineEnded() {
+            placer.updateMachines()
+            placementLoop.requestPass()
+        }
     }
 
     private companion object {
--- a/src/main/kotlin/ledgearch/control/MetricsSource.kt
+++ b/src/main/kotlin/ledgearch/control/MetricsSource.kt
@@ -1,6 +1,7 @@
 package ledgearch.control
 
 import ledgearch.agents.EndedAttemptReport
+import ledgearch.agents.QuarantineReport
 import ledgearch.api.UserApi
 import ledgearch.election.Election
 import ledgearch.jobs.JobStore
@@ -42,11 +43,14 @@
             dependencies = jobStore.dependencies.report(),
             pendingWrites = if (election.isLeader) leader.pendingWrites() else null,
             endedAttempts = if (election.isLeader) EndedAttemptReport.of(leader.machines.values, clock) else null,
+            quarantine = if (election.isLeader) quarantineReport() else null,
             store = storeClient.report(),
             standby = standby?.report(election.isLeader),
             recovery = if (election.isLeader) leader.recovery?.report() else null,
         )
 
+    private fun quarantineReport() = QuarantineReport.of(leader.machines.values, jobStore.jobs.values, clock)
+
     private fun pollReport(): PollReport {
         val longest = userApi.longestUnanswered
         return PollReport(
--- a/src/main/kotlin/ledgearch/model/Job.kt
+++ b/src/main/kotlin/ledgearch/model/Job.kt
@@ -169,11 +169,17 @@
     /** Wall-clock ms at which this leader last started a task of the job; 0 before the first start. */
     var lastStartAtMs = 0L
 
-    /** Names of the machines on which its tasks failed, since the last task that succeeded. */
-    val failedMachineNames = HashSet<String>()
-
-    /** Number of consecutive pauses of the job because its tasks failed on several machines. */
-    var consecutivePauses = 0
+    /** The machines on which its tasks failed. */
+    val failures = JobFailures()
+
+    /** Returns whether a task of the job has completed or, for a service, a replica runs well. */
+    fun hasWorked(nowMs: Long): Boolean =
+        if (isService) {
+            attempts.values.any { it.hasRunWell(nowMs) }
+        } else {
+            finishedCount >
+                0
+        }
 
     /** Returns the ms since a task of the job was last started, or since the job became ready. */
     fun msSinceLastStart(wallMs: Long): Long = wallMs - maxOf(lastStartAtMs, readyAtMs)
@@ -198,8 +204,7 @@
         pausedUntilMs = Long.MIN_VALUE
         progressWrittenAtMs = Long.MIN_VALUE / 2
         lastStartAtMs = 0L
-        failedMachineNames.clear()
-        consecutivePauses = 0
+        failures.clear()
         meanRunTime.clear()
     }
 }
--- a/src/main/kotlin/ledgearch/model/Machine.kt
+++ b/src/main/kotlin/ledgearch/model/Machine.kt
@@ -134,8 +134,11 @@
     /** Whether the machine gets only tasks that can't wait, while its zone is readmitted in steps. */
     var isReadmissionPending = false
 
-    /** Whether tasks fail on the machine, so that none is started and it is drained and returned. */
-    var isQuarantined = false
+    /** The quarantine of the machine because tasks fail on it; null if it is not quarantined. */
+    var quarantine: Quarantine? = null
+
+    /** Whether tasks fail on the machine, so that it gets only trials, is drained and returned. */
+    val isQuarantined: Boolean get() = quarantine != null
 
     /** Whether the machine, not needed at present, is returned unless tasks are placed on it first. */
     var isDraining = false
@@ -148,10 +151,8 @@
     /** Time before which no task is started, since the agent refused a task or a task failed. */
     var startsPausedUntilMs = Long.MIN_VALUE
 
-    /** Ids of the jobs whose tasks failed consecutively. */
-    val failedJobIds = LinkedHashSet<String>()
-
-    var consecutiveFailures = 0
+    /** The tasks that failed on the machine. */
+    val failures = MachineFailures()
 
     /** Whether the machine accepts tasks and is not known to be leaving or failing. */
     val isInService: Boolean get() =
@@ -241,6 +242,9 @@
         return free.fits(job)
     }
 
+    /** Returns whether the machine may run tasks of [job] and is large enough for one if it is empty. */
+    fun couldRun(job: Job): Boolean = allows(job) && FreeResources(machineType).fits(job)
+
     /** Returns a copy of the free resources. */
     fun copyFreeResources(): FreeResources = free.copy()
 
--- a/src/main/kotlin/ledgearch/model/ModelTuning.kt
+++ b/src/main/kotlin/ledgearch/model/ModelTuning.kt
@@ -5,6 +5,18 @@
     /** Keeps a heartbeat, at about 110 bytes per task, below 64 KiB. */
     const val MAX_TASKS_PER_MACHINE = 400
 
+    /** First pause of a quarantined machine before a trial: a fetch and a start of the same task elsewhere. */
+    const val FIRST_TRIAL_PAUSE_MS = 5_000L
+
+    /** Users accept a wait of 90 s while a machine has room; two trials fit into that time. */
+    const val MAX_TRIAL_PAUSE_MS = 30_000L
+
+    /** Enough doublings to reach [MAX_TRIAL_PAUSE_MS]; more would overflow eventually. */
+    const val MAX_TRIAL_PAUSE_DOUBLINGS = 3
+
+    /** Time for which a task must run before this shows that it works where it runs: faulty machines fail at once. */
+    const val SOUND_RUN_MS = 10_000L
+
     /** TH_u of [LoadState]'s paper: a machine with at most this many bound tasks is underloaded. */
     const val MAX_UNDERLOADED_TASKS = 0
 
--- a/src/main/kotlin/ledgearch/model/TaskAttempt.kt
+++ b/src/main/kotlin/ledgearch/model/TaskAttempt.kt
@@ -54,6 +54,10 @@
     /** Whether the attempt may be on its machine and is not to be stopped. */
     val continues: Boolean get() = !isExited && stopMode == StopMode.NONE
 
+    /** Returns whether the task runs, and has done so for [ModelTuning.SOUND_RUN_MS]. */
+    fun hasRunWell(nowMs: Long): Boolean =
+        state == AttemptState.RUNNING && nowMs - runningSinceMs >= ModelTuning.SOUND_RUN_MS
+
     // --- Messages to and from the agent ---------------------------------------------------------------------------
 
     /** Whether the agent has listed the attempt. */
--- a/src/main/kotlin/ledgearch/persistence/MachineRecordCodec.kt
+++ b/src/main/kotlin/ledgearch/persistence/MachineRecordCodec.kt
@@ -3,6 +3,8 @@
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import ledgearch.model.Machine
+import ledgearch.model.Quarantine
+import ledgearch.model.QuarantineCause
 import ledgearch.model.TeamQuotas
 import ledgearch.records.MachineEntry
 import ledgearch.records.MachinesRecord
@@ -57,7 +59,7 @@
         val machine = Machine(entry.name, entry.endpoint, machineType, entry.zone, entry.spot, nowMs, teams)
         machine.isInherited = true
         machine.isDurable = true
-        machine.isQuarantined = entry.quarantined
+        if (entry.quarantined) machine.quarantine = Quarantine(QuarantineCause.RECORDED, nowMs)
         return machine
     }
 }
--- a/src/main/kotlin/ledgearch/runtime/Metrics.kt
+++ b/src/main/kotlin/ledgearch/runtime/Metrics.kt
@@ -14,7 +14,8 @@
  *   peer (`state`, `cloud`, `worker`);
  * - other latencies ([recordLatency]): `clear`, from the end of an attempt until its agent no longer lists it;
  * - events ([count]): `task.started`, `task.preempted`, `task.lost`, `task.exited.CAUSE`, `machine.joined`,
- *   `machine.gone`, `token.renewal.REASON`, `command.starts_left_to_heartbeat`;
+ *   `machine.gone`, `machine.quarantined.CAUSE`, `machine.quarantine_ended.REASON`, `quarantine.trial`,
+ *   `quarantine.trial_failed`, `job.delayed`, `token.renewal.REASON`, `command.starts_left_to_heartbeat`;
  * - kinds of the owner's work ([measure]), such as `heartbeats`, `requests` (from users), `answers` (replies to its own
  *   calls), `state` (calls to the state service) and `placement`; one kind may include another.
  *
--- a/src/main/kotlin/ledgearch/scheduling/Placer.kt
+++ b/src/main/kotlin/ledgearch/scheduling/Placer.kt
@@ -34,6 +34,7 @@
             CandidateRating(job, reliability, ranking, latencySensitiveImages)
         }
     private val reservations = StarvedJobReservations(clock)
+    private val trials = QuarantineTrials(machines, clock, starter, metrics)
 
     /** Removes all tasks of [job], which has ended, from the queues. */
     fun removeFromQueues(job: Job) = queues.unbindAll(job)
@@ -65,7 +66,9 @@
         addLatencySensitiveImages(startable)
         val usable = excluding(serveStarved(startable, allUsable), allUsable)
         val running = jobs.filter { it.attempts.isNotEmpty() }
-        val waiting = serveByPriority(startable, usable, running)
+        val unserved = serveByPriority(startable, usable, running)
+        trials.run(unserved)
+        val waiting = unserved.filter { it.pendingCount > 0 }
         if (waiting.isEmpty()) return
         val admitting = if (recovery.isActive) usable.filter { !it.isReadmissionPending } else usable
         metrics.measure("preemption") {
--- a/src/main/kotlin/ledgearch/scheduling/SchedulingTuning.kt
+++ b/src/main/kotlin/ledgearch/scheduling/SchedulingTuning.kt
@@ -20,6 +20,9 @@
     /** Pause after a reservation before the next one for the same job, so that other jobs can use the room. */
     const val RESERVATION_PAUSE_MS = 5_000L
 
+    /** Wait from which on a job's task may be started on a quarantined machine. */
+    const val MIN_WAIT_FOR_TRIAL_MS = 5_000L
+
     /** A job waits this long for room to become free without preemption, see [Ranking.canWait]. */
     const val MAX_PREEMPTION_DELAY_S = 2.0
 
--- a/src/main/kotlin/ledgearch/status/MetricsReport.kt
+++ b/src/main/kotlin/ledgearch/status/MetricsReport.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import ledgearch.agents.EndedAttemptReport
+import ledgearch.agents.QuarantineReport
 import ledgearch.jobs.DependencyReport
 import ledgearch.persistence.PendingWriteReport
 import ledgearch.recovery.RecoveryReport
@@ -42,6 +43,8 @@
     @SerialName("pending_writes") val pendingWrites: Map<String, PendingWriteReport>? = null,
     /** Ended attempts on the leader's machines. Null on other nodes, and if the controller's version has no report. */
     @SerialName("ended_attempts") val endedAttempts: EndedAttemptReport? = null,
+    /** Machines under suspicion. Null on other nodes, and if the controller's version has no report. */
+    val quarantine: QuarantineReport? = null,
     /** Requests to the state service. Null if the controller's version does not report it. */
     val store: StoreReport? = null,
     /** State of warm standby; null if it is disabled. */
--- a/src/test/kotlin/ledgearch/simulation/FakeWorker.kt
+++ b/src/test/kotlin/ledgearch/simulation/FakeWorker.kt
@@ -277,6 +277,7 @@
         task.state = TaskState.RUNNING
         hasChanges = true
         simulation.invariants.recordStart(this, task)
+        if (task.job in simulation.brokenJobs) return failSoon(task, incarnationAtStart)
         val runTimeMs = simulation.runTimeMs(task.taskId) ?: return
         clock.after(runTimeMs) {
             runWhenNotHanging(task, incarnationAtStart) {
@@ -286,6 +287,16 @@
         }
     }
 
+    private fun failSoon(
+        task: Task,
+        incarnationAtStart: Long,
+    ) {
+        simulation.invariants.recordBrokenStart()
+        clock.after(Simulation.BROKEN_TASK_RUN_MS) {
+            runWhenNotHanging(task, incarnationAtStart) { exit(task, ExitCause.ERROR) }
+        }
+    }
+
     private fun runWhenNotHanging(
         task: Task,
         incarnationAtStart: Long,
--- a/src/test/kotlin/ledgearch/simulation/Simulation.kt
+++ b/src/test/kotlin/ledgearch/simulation/Simulation.kt
@@ -33,6 +33,9 @@
     val heartbeats = HeartbeatFaults(this)
     val users = Users(this)
 
+    /** Jobs that were submitted with a mistake: each of their tasks fails on every machine. */
+    val brokenJobs = HashSet<String>()
+
     /** Events that are not violations but help to explain them. */
     val notes = ArrayList<String>()
     val nodes = nodeNames.map { SimulatedNode(this, it) }
@@ -178,6 +181,9 @@
     companion object {
         const val CANCEL_MS = 39_000L
         const val IMAGE_FETCH_MS = 1000L
+
+        /** Time after which a task of a job that was submitted with a mistake fails. */
+        const val BROKEN_TASK_RUN_MS = 50L
     }
 }
 
--- a/src/test/kotlin/ledgearch/simulation/invariants/InvariantChecker.kt
+++ b/src/test/kotlin/ledgearch/simulation/invariants/InvariantChecker.kt
@@ -53,6 +53,10 @@
     var failedStartCount = 0
         private set
 
+    /** Number of starts of tasks whose job fails on every machine. */
+    var brokenStartCount = 0
+        private set
+
     private fun reportViolation(
         rule: String,
         details: String,
@@ -296,6 +300,11 @@
         failedStartCount++
     }
 
+    /** Records a start of a task whose job fails on every machine. */
+    fun recordBrokenStart() {
+        brokenStartCount++
+    }
+
     /** Records and checks that [task] begins to execute. */
     fun recordStart(
         worker: FakeWorker,
--- a/src/test/kotlin/ledgearch/simulation/scenarios/JobExpectations.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/JobExpectations.kt
@@ -14,6 +14,7 @@
             "started" to ::checkStarted,
             "starts" to ::checkStarts,
             "failures" to ::checkFailedTasks,
+            "broken-starts" to ::checkBrokenStarts,
             "decisions" to ::checkDecisions,
             "terms" to ::checkTerms,
             "finished" to ::checkFinished,
@@ -40,6 +41,11 @@
         compare("failures at most ${words[2]}", count, count <= words[2].toInt())
     }
 
+    private fun checkBrokenStarts() {
+        val count = invariants.brokenStartCount
+        compare("broken starts at most ${words[2]}", count, count <= words[2].toInt())
+    }
+
     private fun checkDecisions() {
         val count = invariants.lastAttempt and ATTEMPT_COUNTER_MASK
         compare("decisions at most ${words[2]}", count, count <= words[2].toInt())
--- a/src/test/kotlin/ledgearch/simulation/scenarios/JobSteps.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/JobSteps.kt
@@ -10,6 +10,8 @@
     override val actions =
         mapOf<String, (Step) -> Unit>(
             "submit" to ::submit,
+            "submit-broken" to ::submitBroken,
+            "submit-broken-many" to ::submitBrokenMany,
             "submit-many" to ::submitMany,
             "submit-invalid" to ::submitInvalid,
             "pipelines" to ::submitPipelines,
@@ -23,6 +25,28 @@
         simulation.users.submit(parseJobSpec(step.words.drop(1)), node?.let(::nodeName))
     }
 
+    /** `submit-broken JOB WORDS`: submits a job with a mistake, whose tasks fail on every machine. */
+    private fun submitBroken(step: Step) {
+        simulation.brokenJobs.add(step.words[1])
+        submit(step)
+    }
+
+    /**
+     * `submit-broken-many COUNT EVERY-MS FOR-MS WORDS`: submits jobs with a mistake, numbered from 7000; the user of each
+     * cancels it after FOR-MS.
+     */
+    private fun submitBrokenMany(step: Step) {
+        val words = step.words
+        repeat(words[1].toInt()) { i ->
+            val job = "job-${FIRST_BROKEN_JOB + i}"
+            simulation.brokenJobs.add(job)
+            simulation.clock.after(
+                i * words[2].toLong(),
+            ) { simulation.submit(parseJobSpec(listOf(job) + words.drop(4))) }
+            simulation.clock.after(i * words[2].toLong() + words[3].toLong()) { simulation.cancel(job) }
+        }
+    }
+
     /**
      * `submit-many COUNT EVERY-MS WORDS`: submits jobs numbered from 1000. With `depends-on=previous` each one awaits
      * the job before it.
@@ -79,5 +103,6 @@
 
     private companion object {
         const val FIRST_PIPELINE_JOB = 5000
+        const val FIRST_BROKEN_JOB = 7000
     }
 }
