Quarantines of machines that are faulty no longer end by tasks that ran before

Change: a success removes only failures older than its start, and only a trial ends a quarantine. One task at a time is started of a job that fails everywhere, and nothing is stopped, reserved or rented for the rest. Machines faulty without doubt are tried after 30 and 60 s only.

--- a/src/main/kotlin/ledgearch/agents/AgentTuning.kt
+++ b/src/main/kotlin/ledgearch/agents/AgentTuning.kt
@@ -74,7 +74,7 @@
     /** The same where fewer machines could run the job: a failure on one machine alone says nothing about the job. */
     const val MIN_FAILED_MACHINES_FOR_JOB_DELAY = 2
 
-    /** Time after which a failure no longer counts as evidence against its machine, and a quarantine without new evidence ends. */
+    /** Time after which a failure no longer counts against its machine, and a quarantine without new failures ends. */
     const val FAILURE_EVIDENCE_TTL_MS = 600_000L
 
     /** Interval between checks whether trials have passed or evidence has expired. */
--- a/src/main/kotlin/ledgearch/agents/FailureEvidence.kt
+++ b/src/main/kotlin/ledgearch/agents/FailureEvidence.kt
@@ -38,18 +38,35 @@
     fun failsEverywhere(
         job: Job,
         index: Int,
-    ): Boolean {
-        val hasWorked = job.hasWorked(clock.steadyMs)
-        val failedMachines = if (hasWorked) job.failures.machineCount(index) else job.failures.machines.size
-        return failedMachines >= machinesToFailOn(job)
-    }
+    ): Boolean =
+        if (job.hasWorked(
+                clock.steadyMs,
+            )
+        ) {
+            job.failures.machineCount(index) >= machinesToFailOn(job)
+        } else {
+            shouldDelay(job)
+        }
 
     /** Returns whether tasks of [job] failed on so many machines, with none completed between, that it is delayed. */
-    fun shouldDelay(job: Job): Boolean = job.failures.machines.size >= machinesToFailOn(job)
+    fun shouldDelay(job: Job): Boolean =
+        job.isSuspect(clock.steadyMs) || unprovenMachinesFailedOn(job) >= machinesToFailOn(job)
+
+    /** Returns the number of machines that [job] failed on and that are not known to be faulty. */
+    private fun unprovenMachinesFailedOn(job: Job): Int =
+        job.failures.machines.count { name ->
+            machines[name]?.let(::isNotProvenFaulty) ==
+                true
+        }
+
+    private fun isNotProvenFaulty(machine: Machine) = machine.quarantine?.isCertain != true
 
     /** Returns the number of machines on which a job must fail before its failures are blamed on itself. */
     private fun machinesToFailOn(job: Job): Int {
-        val suitable = machines.values.asSequence().filter { it.isConfirmed && !it.isReleasing && it.couldRun(job) }
+        val suitable =
+            machines.values.asSequence().filter {
+                it.isConfirmed && !it.isReleasing && isNotProvenFaulty(it) && it.couldRun(job)
+            }
         return suitable
             .take(AgentTuning.FAILED_MACHINES_FOR_JOB_DELAY)
             .count()
--- a/src/main/kotlin/ledgearch/agents/TaskFailures.kt
+++ b/src/main/kotlin/ledgearch/agents/TaskFailures.kt
@@ -15,8 +15,8 @@
     /** Name in logs and metrics. */
     val label: String,
 ) {
-    /** A task has completed on the machine. */
-    TASK_COMPLETED("task_completed"),
+    /** A task that was started as a trial has completed. */
+    TRIAL_COMPLETED("trial_completed"),
 
     /** A task that was started as a trial runs well. */
     TRIAL_PASSED("trial_passed"),
@@ -46,7 +46,10 @@
         attempt: TaskAttempt,
         job: Job,
     ) {
-        endQuarantineOf(attempt.machine, QuarantineEnd.TASK_COMPLETED)
+        val machine = attempt.machine
+        if (machine.quarantine?.isTrial(attempt) == true) endQuarantineOf(machine, QuarantineEnd.TRIAL_COMPLETED)
+        // Only a task that was started after a failure shows that the machine works again.
+        if (!attempt.isInherited) machine.failures.removeBefore(attempt.assignedAtMs)
         val failedMachines = job.failures.machines.toList()
         job.failures.recordSuccess(attempt.index)
         // Since the job's tasks can complete, the machines on which they failed may be faulty.
@@ -82,17 +85,27 @@
         }
     }
 
-    /** Ends the quarantines of machines on which a trial has passed or no task has failed for long, when due. */
+    /**
+     * Reviews the machines on which tasks have failed, when due: time alone can show that a job works elsewhere, that a
+     * trial has passed or that no task has failed for long.
+     */
     fun runDueWork() {
         if (clock.steadyMs < nextCheckAtMs) return
         nextCheckAtMs = clock.steadyMs + AgentTuning.QUARANTINE_CHECK_INTERVAL_MS
         for (machine in machines.values) {
-            val quarantine = machine.quarantine ?: continue
-            if (quarantine.hasTrialPassed(clock.steadyMs)) {
-                endQuarantineOf(machine, QuarantineEnd.TRIAL_PASSED)
-            } else if (clock.steadyMs - quarantine.lastEvidenceAtMs >= AgentTuning.FAILURE_EVIDENCE_TTL_MS) {
-                endQuarantineOf(machine, QuarantineEnd.EVIDENCE_EXPIRED)
-            }
+            if (!machine.failures.isEmpty) review(machine)
+            machine.quarantine?.let { endIfOver(machine, it) }
+        }
+    }
+
+    private fun endIfOver(
+        machine: Machine,
+        quarantine: Quarantine,
+    ) {
+        if (quarantine.hasTrialPassed(clock.steadyMs)) {
+            endQuarantineOf(machine, QuarantineEnd.TRIAL_PASSED)
+        } else if (clock.steadyMs - quarantine.lastEvidenceAtMs >= AgentTuning.FAILURE_EVIDENCE_TTL_MS) {
+            endQuarantineOf(machine, QuarantineEnd.EVIDENCE_EXPIRED)
         }
     }
 
@@ -111,7 +124,7 @@
             delayMs,
         )
         // A job that has worked is delayed again only after it has failed on as many machines as before.
-        if (job.hasWorked(clock.steadyMs)) job.failures.forgetMachines()
+        if (job.hasWorked(clock.steadyMs)) job.failures.forgetMachines() else job.failures.failsEverywhere = true
     }
 
     private fun recordFailedTrial(
@@ -131,7 +144,7 @@
         if (quarantine == null) {
             if (cause != null) beginQuarantine(machine, cause)
         } else if (cause == QuarantineCause.COMPLETES_ELSEWHERE) {
-            quarantine.cause = cause
+            quarantine.markCertain(clock.steadyMs)
         } else if (cause == null && quarantine.cause != QuarantineCause.RECORDED) {
             endQuarantine(machine, quarantine, QuarantineEnd.JOBS_TO_BLAME)
         }
@@ -144,7 +157,7 @@
         machine.quarantine = Quarantine(cause, clock.steadyMs)
         metrics.count("machine.quarantined.${cause.label}")
         log.warn(
-            "machine quarantined: several jobs fail on it, or tasks that complete elsewhere; machine={} cause={} jobs={}",
+            "machine quarantined: several jobs fail on it, or tasks that work elsewhere; machine={} cause={} jobs={}",
             machine.name,
             cause.label,
             machine.failures.jobIds(),
--- a/src/main/kotlin/ledgearch/autoscaling/Demand.kt
+++ b/src/main/kotlin/ledgearch/autoscaling/Demand.kt
@@ -47,7 +47,8 @@
             return inServingOrder(jobs, cluster, clock).mapNotNull { job ->
                 val team = job.spec.team
                 val plannedCpus = plannedCpusByTeam[team] ?: 0.0
-                val taskCount = minOf(job.pendingCount, cluster.teams.roomFor(job, plannedCpus))
+                val taskCount =
+                    minOf(job.startableCount(clock.steadyMs), cluster.teams.roomFor(job, plannedCpus))
                 if (taskCount <= 0) return@mapNotNull null
                 plannedCpusByTeam[team] = plannedCpus + taskCount * job.spec.vcpus
                 Demand(job, taskCount)
--- a/src/main/kotlin/ledgearch/autoscaling/QuarantinedMachines.kt
+++ b/src/main/kotlin/ledgearch/autoscaling/QuarantinedMachines.kt
@@ -3,7 +3,6 @@
 import ledgearch.jobs.JobStore
 import ledgearch.model.Job
 import ledgearch.model.Machine
-import ledgearch.model.QuarantineCause
 import ledgearch.runtime.Clock
 
 /**
@@ -26,7 +25,7 @@
      */
     private fun isCertain(machine: Machine): Boolean {
         val quarantine = machine.quarantine ?: return false
-        return quarantine.cause == QuarantineCause.COMPLETES_ELSEWHERE ||
+        return quarantine.isCertain ||
             clock.steadyMs - quarantine.sinceMs >= AutoscalingTuning.UNCERTAIN_QUARANTINE_MS
     }
 
--- a/src/main/kotlin/ledgearch/model/Job.kt
+++ b/src/main/kotlin/ledgearch/model/Job.kt
@@ -172,13 +172,18 @@
     /** The machines on which its tasks failed. */
     val failures = JobFailures()
 
-    /** Returns whether a task of the job has completed or, for a service, a replica runs well. */
-    fun hasWorked(nowMs: Long): Boolean =
-        if (isService) {
-            attempts.values.any { it.hasRunWell(nowMs) }
-        } else {
-            finishedCount >
-                0
+    /** Returns whether a task of the job has completed or runs well. */
+    fun hasWorked(nowMs: Long): Boolean = finishedCount > 0 || attempts.values.any { it.hasRunWell(nowMs) }
+
+    /** Returns whether the job seems to fail everywhere, so that only one of its tasks is started at a time. */
+    fun isSuspect(nowMs: Long): Boolean = failures.failsEverywhere && !hasWorked(nowMs)
+
+    /** Returns how many of the pending tasks may be started now. */
+    fun startableCount(nowMs: Long): Int =
+        when {
+            !isSuspect(nowMs) -> pendingCount
+            attempts.isEmpty() -> minOf(1, pendingCount)
+            else -> 0
         }
 
     /** Returns the ms since a task of the job was last started, or since the job became ready. */
--- a/src/main/kotlin/ledgearch/model/JobFailures.kt
+++ b/src/main/kotlin/ledgearch/model/JobFailures.kt
@@ -8,6 +8,9 @@
     /** Number of consecutive delays of the job because its tasks fail on every machine. */
     var consecutiveDelays = 0
 
+    /** Whether the failures were blamed on the job, of which nothing had worked, until a task of it completes. */
+    var failsEverywhere = false
+
     /** Names of the machines on which tasks of the job failed since one last completed. */
     val machines: Set<String> get() = machineNames
 
@@ -27,6 +30,7 @@
     fun recordSuccess(index: Int) {
         machineNames.clear()
         machineNamesByTask.remove(index)
+        failsEverywhere = false
         consecutiveDelays = 0
     }
 
@@ -37,6 +41,7 @@
     fun clear() {
         machineNames.clear()
         machineNamesByTask.clear()
+        failsEverywhere = false
         consecutiveDelays = 0
     }
 }
--- a/src/main/kotlin/ledgearch/model/MachineFailures.kt
+++ b/src/main/kotlin/ledgearch/model/MachineFailures.kt
@@ -1,8 +1,8 @@
 package ledgearch.model
 
 /**
- * The tasks that failed on one machine since a task last completed there: the evidence that the machine is faulty. Times
- * are steady-clock ms.
+ * The tasks that failed on one machine, with no later one completed there: the evidence that the machine is faulty.
+ * Times are steady-clock ms.
  */
 internal class MachineFailures {
     private data class FailedTask(
@@ -18,6 +18,8 @@
 
     private val failuresByTask = LinkedHashMap<FailedTask, Failures>()
 
+    val isEmpty: Boolean get() = failuresByTask.isEmpty()
+
     /** Records that the task [index] of [job] failed at [nowMs]. */
     fun add(
         job: Job,
@@ -34,12 +36,12 @@
         failuresByTask.keys.removeIf { it.job === job }
     }
 
-    /** Removes the failures before [timeMs]. */
+    /** Removes the failures before [timeMs]: they are old, or a task that was started after them has completed. */
     fun removeBefore(timeMs: Long) {
         failuresByTask.values.removeIf { it.lastAtMs < timeMs }
     }
 
-    /** Removes all failures, since a task has completed or runs well. */
+    /** Removes all failures, since a trial has passed. */
     fun clear() = failuresByTask.clear()
 
     /** Returns the ids of the jobs whose tasks failed. */
--- a/src/main/kotlin/ledgearch/model/ModelTuning.kt
+++ b/src/main/kotlin/ledgearch/model/ModelTuning.kt
@@ -11,7 +11,13 @@
     /** Users accept a wait of 90 s while a machine has room; two trials fit into that time. */
     const val MAX_TRIAL_PAUSE_MS = 30_000L
 
-    /** Enough doublings to reach [MAX_TRIAL_PAUSE_MS]; more would overflow eventually. */
+    /** The same of a machine that is faulty without doubt, which may still have been repaired. */
+    const val FIRST_CERTAIN_TRIAL_PAUSE_MS = 30_000L
+
+    /** One trial fits into the wait that users accept. */
+    const val MAX_CERTAIN_TRIAL_PAUSE_MS = 60_000L
+
+    /** Enough doublings to reach the longest pauses; more would overflow eventually. */
     const val MAX_TRIAL_PAUSE_DOUBLINGS = 3
 
     /** Time for which a task must run before this shows that it works where it runs: faulty machines fail at once. */
--- a/src/main/kotlin/ledgearch/model/Quarantine.kt
+++ b/src/main/kotlin/ledgearch/model/Quarantine.kt
@@ -20,10 +20,16 @@
  * trial that fails. Times are steady-clock ms.
  */
 internal class Quarantine(
-    /** The strongest reason so far. */
-    var cause: QuarantineCause,
+    cause: QuarantineCause,
     val sinceMs: Long,
 ) {
+    /** The strongest reason so far. */
+    var cause = cause
+        private set
+
+    /** Whether the machine is faulty without doubt, since jobs whose tasks fail on it work elsewhere. */
+    val isCertain: Boolean get() = cause == QuarantineCause.COMPLETES_ELSEWHERE
+
     private var failedTrials = 0
 
     /** The task that was started last as a trial. */
@@ -36,6 +42,13 @@
     var lastEvidenceAtMs = sinceMs
         private set
 
+    /** Records that jobs whose tasks fail on the machine work elsewhere. */
+    fun markCertain(nowMs: Long) {
+        if (isCertain) return
+        cause = QuarantineCause.COMPLETES_ELSEWHERE
+        nextTrialAtMs = nowMs + trialPauseMs()
+    }
+
     /** Returns whether a task may be started as a trial. */
     fun mayTry(nowMs: Long): Boolean = nowMs >= nextTrialAtMs
 
@@ -63,6 +76,10 @@
 
     private fun trialPauseMs(): Long {
         val doublings = minOf(failedTrials, ModelTuning.MAX_TRIAL_PAUSE_DOUBLINGS)
-        return minOf(ModelTuning.FIRST_TRIAL_PAUSE_MS shl doublings, ModelTuning.MAX_TRIAL_PAUSE_MS)
+        return if (isCertain) {
+            minOf(ModelTuning.FIRST_CERTAIN_TRIAL_PAUSE_MS shl doublings, ModelTuning.MAX_CERTAIN_TRIAL_PAUSE_MS)
+        } else {
+            minOf(ModelTuning.FIRST_TRIAL_PAUSE_MS shl doublings, ModelTuning.MAX_TRIAL_PAUSE_MS)
+        }
     }
 }
--- a/src/main/kotlin/ledgearch/scheduling/Placer.kt
+++ b/src/main/kotlin/ledgearch/scheduling/Placer.kt
@@ -30,7 +30,7 @@
     private val latencySensitiveImages = HashSet<String>()
     private val queues = QueueBinder(machines, clock, recovery)
     private val starter =
-        TaskStarter(teams, recovery, queues, startTask) { job ->
+        TaskStarter(teams, recovery, queues, clock, startTask) { job ->
             CandidateRating(job, reliability, ranking, latencySensitiveImages)
         }
     private val reservations = StarvedJobReservations(clock)
@@ -68,7 +68,8 @@
         val running = jobs.filter { it.attempts.isNotEmpty() }
         val unserved = serveByPriority(startable, usable, running)
         trials.run(unserved)
-        val waiting = unserved.filter { it.pendingCount > 0 }
+        // No other task is stopped for a job that seems to fail everywhere.
+        val waiting = unserved.filter { it.pendingCount > 0 && !it.isSuspect(clock.steadyMs) }
         if (waiting.isEmpty()) return
         val admitting = if (recovery.isActive) usable.filter { !it.isReadmissionPending } else usable
         metrics.measure("preemption") {
@@ -121,8 +122,9 @@
         running: List<Job>,
     ) {
         if (jobs.isEmpty()) return
+        val sound = jobs.filter { !it.isSuspect(clock.steadyMs) }
         val assigned =
-            metrics.measure("latency_sensitive") { preemption.makeRoomWhereImageIsPresent(jobs, usable, running) }
+            metrics.measure("latency_sensitive") { preemption.makeRoomWhereImageIsPresent(sound, usable, running) }
         for (job in jobs) starter.startAnywhere(job, usable, keepPending = assigned[job] ?: 0)
     }
 
@@ -135,7 +137,10 @@
         startable: List<Job>,
         usable: List<Machine>,
     ): Set<Machine> {
-        val starved = startable.filter { it.attempts.isEmpty() && ranking.isStarved(it) }.sortedBy { it.readyAtMs }
+        val starved =
+            startable
+                .filter { it.attempts.isEmpty() && ranking.isStarved(it) && !it.isSuspect(clock.steadyMs) }
+                .sortedBy { it.readyAtMs }
         val reserved = HashSet<Machine>()
         for (job in starved) {
             val unreserved = excluding(reserved, usable)
--- a/src/main/kotlin/ledgearch/scheduling/TaskStarter.kt
+++ b/src/main/kotlin/ledgearch/scheduling/TaskStarter.kt
@@ -4,12 +4,14 @@
 import ledgearch.model.Machine
 import ledgearch.model.TeamQuotas
 import ledgearch.model.ZoneSpread
+import ledgearch.runtime.Clock
 
 /** Starts pending tasks on machines that have room for them, the best rated machine first. */
 internal class TaskStarter(
     private val teams: TeamQuotas,
     private val recovery: RecoveryPolicy,
     private val queues: QueueBinder,
+    private val clock: Clock,
     private val startTask: (Job, Int, Machine) -> Unit,
     private val createRating: (Job) -> CandidateRating,
 ) {
@@ -40,11 +42,12 @@
         machines: List<Machine>,
         keepPending: Int = 0,
     ): Boolean {
-        if (job.pendingCount <= keepPending || !teams.allows(job)) return true
+        val keptPending = maxOf(keepPending, job.pendingCount - job.startableCount(clock.steadyMs))
+        if (job.pendingCount <= keptPending || !teams.allows(job)) return true
         val fitting = machines.filter { it.hasRoom(job) && it.allows(job) && recovery.admits(it, job) }
         val candidates = Candidates(job, fitting, createRating(job))
         val zoneSpread = ZoneSpread(job)
-        while (job.pendingCount > keepPending && teams.allows(job) && recovery.mayStart(job)) {
+        while (job.pendingCount > keptPending && teams.allows(job) && recovery.mayStart(job)) {
             val index = job.nextPendingTask() ?: break
             val isStarted =
                 candidates.startOnBest(zoneSpread) { machine ->
--- a/src/test/kotlin/ledgearch/agents/FailureEvidenceTest.kt
+++ b/src/test/kotlin/ledgearch/agents/FailureEvidenceTest.kt
@@ -2,6 +2,7 @@
 
 import ledgearch.model.Job
 import ledgearch.model.Machine
+import ledgearch.model.Quarantine
 import ledgearch.model.QuarantineCause
 import ledgearch.model.TeamQuotas
 import ledgearch.records.JobRecord
@@ -98,4 +99,34 @@
         fail(job("job-2"), 0, machine)
         assertNull(evidence.causeForQuarantine(machine))
     }
+
+    @Test
+    fun `machines that are proven faulty do not count against a job`() {
+        val three = addMachines(6).take(3)
+        val job = job("job-1")
+        three.forEach { fail(job, 0, it) }
+        assertTrue(evidence.shouldDelay(job))
+        three.first().quarantine = Quarantine(QuarantineCause.COMPLETES_ELSEWHERE, sinceMs = 0)
+        assertFalse(evidence.shouldDelay(job))
+    }
+
+    @Test
+    fun `only one task at a time is started of a job that fails everywhere, until one completes`() {
+        val job = job("job-1")
+        job.failures.failsEverywhere = true
+        assertEquals(1, job.startableCount(clock.steadyMs))
+        job.markFinished(0)
+        assertEquals(3, job.startableCount(clock.steadyMs))
+    }
+
+    @Test
+    fun `only a task that was started after a failure removes the failure`() {
+        val machine = addMachines(4).first()
+        clock.steadyMs = 1_000
+        fail(job("job-1"), 0, machine)
+        machine.failures.removeBefore(1_000)
+        assertFalse(machine.failures.isEmpty)
+        machine.failures.removeBefore(1_001)
+        assertTrue(machine.failures.isEmpty)
+    }
 }
--- a/src/test/kotlin/ledgearch/model/QuarantineTest.kt
+++ b/src/test/kotlin/ledgearch/model/QuarantineTest.kt
@@ -22,4 +22,12 @@
         assertEquals(listOf(5_000L, 10_000L, 20_000L, 30_000L, 30_000L), pausesMs)
         assertEquals(nowMs, quarantine.lastEvidenceAtMs)
     }
+
+    @Test
+    fun `a machine that is faulty without doubt is tried more rarely`() {
+        quarantine.markCertain(nowMs = 1_000)
+        assertEquals(30_000, msUntilTrial(1_000))
+        quarantine.recordFailedTrial(31_000)
+        assertEquals(60_000, msUntilTrial(31_000))
+    }
 }
--- a/src/test/kotlin/ledgearch/simulation/scenarios/JobSteps.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/JobSteps.kt
@@ -32,18 +32,17 @@
     }
 
     /**
-     * `submit-broken-many COUNT EVERY-MS FOR-MS WORDS`: submits jobs with a mistake, numbered from 7000; the user of each
-     * cancels it after FOR-MS.
+     * `submit-broken-many COUNT EVERY-MS FOR-MS WORDS`: submits jobs with a mistake, numbered from 7000; each is
+     * cancelled after FOR-MS.
      */
     private fun submitBrokenMany(step: Step) {
         val words = step.words
         repeat(words[1].toInt()) { i ->
             val job = "job-${FIRST_BROKEN_JOB + i}"
             simulation.brokenJobs.add(job)
-            simulation.clock.after(
-                i * words[2].toLong(),
-            ) { simulation.submit(parseJobSpec(listOf(job) + words.drop(4))) }
-            simulation.clock.after(i * words[2].toLong() + words[3].toLong()) { simulation.cancel(job) }
+            val startMs = i * words[2].toLong()
+            simulation.clock.after(startMs) { simulation.submit(parseJobSpec(listOf(job) + words.drop(4))) }
+            simulation.clock.after(startMs + words[3].toLong()) { simulation.cancel(job) }
         }
     }
 
