A job blamed for failing everywhere has its full rights again when it could not be tried

Cause, found by reading: nothing is stopped or reserved for a job that counts as failing everywhere, and the verdict ended only with a task that works. A sound job that failed on three faulty machines, which were repaired then, waited for as long as other work took all room: a verdict without a way out once more.

Change: the verdict ends 75 s after the job's last failure, longer than its longest delay. The evidence of a cancelled job is removed from every machine on which a task of it failed, also after the job was delayed as one that had worked.

job-blamed-wrongly-preempts-again fails on ("running job-1 1: got 0" after 100 s) and passes now.

--- a/src/main/kotlin/ledgearch/agents/FailureEvidence.kt
+++ b/src/main/kotlin/ledgearch/agents/FailureEvidence.kt
@@ -38,15 +38,10 @@
     fun failsEverywhere(
         job: Job,
         index: Int,
-    ): Boolean =
-        if (job.hasWorked(
-                clock.steadyMs,
-            )
-        ) {
-            job.failures.machineCount(index) >= machinesToFailOn(job)
-        } else {
-            shouldDelay(job)
-        }
+    ): Boolean {
+        if (!job.hasWorked(clock.steadyMs)) return shouldDelay(job)
+        return job.failures.machineCount(index) >= machinesToFailOn(job)
+    }
 
     /** Returns whether tasks of [job] failed on so many machines, with none completed between, that it is delayed. */
     fun shouldDelay(job: Job): Boolean =
@@ -54,10 +49,9 @@
 
     /** Returns the number of machines that [job] failed on and that are not known to be faulty. */
     private fun unprovenMachinesFailedOn(job: Job): Int =
-        job.failures.machines.count { name ->
-            machines[name]?.let(::isNotProvenFaulty) ==
-                true
-        }
+        job.failures.machines
+            .mapNotNull { machines[it] }
+            .count(::isNotProvenFaulty)
 
     private fun isNotProvenFaulty(machine: Machine) = machine.quarantine?.isCertain != true
 
--- a/src/main/kotlin/ledgearch/agents/TaskFailures.kt
+++ b/src/main/kotlin/ledgearch/agents/TaskFailures.kt
@@ -63,7 +63,7 @@
     ) {
         val machine = attempt.machine
         machine.failures.add(job, attempt.index, clock.steadyMs)
-        job.failures.add(attempt.index, machine.name)
+        job.failures.add(attempt.index, machine.name, clock.steadyMs)
         val failedMachines = job.failures.machines.toList()
         if (evidence.shouldDelay(job)) {
             delay(job)
@@ -78,7 +78,7 @@
     /** Removes the failures of [job], which was closed, from the evidence unless its tasks have worked elsewhere. */
     fun onJobClosed(job: Job) {
         if (job.finishedCount > 0) return
-        for (name in job.failures.machines) {
+        for (name in job.failures.machinesOfOpenTasks) {
             val machine = machines[name] ?: continue
             machine.failures.remove(job)
             review(machine)
--- a/src/main/kotlin/ledgearch/model/Job.kt
+++ b/src/main/kotlin/ledgearch/model/Job.kt
@@ -175,8 +175,12 @@
     /** Returns whether a task of the job has completed or runs well. */
     fun hasWorked(nowMs: Long): Boolean = finishedCount > 0 || attempts.values.any { it.hasRunWell(nowMs) }
 
-    /** Returns whether the job seems to fail everywhere, so that only one of its tasks is started at a time. */
-    fun isSuspect(nowMs: Long): Boolean = failures.failsEverywhere && !hasWorked(nowMs)
+    /**
+     * Returns whether the job seems to fail everywhere, so that only one of its tasks is started at a time and no other
+     * one is stopped for it. A job that could not even try for a while has its full rights again.
+     */
+    fun isSuspect(nowMs: Long): Boolean =
+        failures.failsEverywhere && failures.hasFailedWithin(ModelTuning.JOB_SUSPICION_MS, nowMs) && !hasWorked(nowMs)
 
     /** Returns how many of the pending tasks may be started now. */
     fun startableCount(nowMs: Long): Int =
--- a/src/main/kotlin/ledgearch/model/JobFailures.kt
+++ b/src/main/kotlin/ledgearch/model/JobFailures.kt
@@ -11,14 +11,28 @@
     /** Whether the failures were blamed on the job, of which nothing had worked, until a task of it completes. */
     var failsEverywhere = false
 
+    /** Steady-clock ms of the last failure. */
+    private var lastAtMs = 0L
+
     /** Names of the machines on which tasks of the job failed since one last completed. */
     val machines: Set<String> get() = machineNames
 
-    /** Records that the task [index] failed on the machine [machineName]. */
+    /** Names of the machines on which any task failed that has not completed since. */
+    val machinesOfOpenTasks: Set<String> get() = machineNamesByTask.values.flatMapTo(LinkedHashSet()) { it }
+
+    /** Returns whether a task failed within the last [durationMs]. */
+    fun hasFailedWithin(
+        durationMs: Long,
+        nowMs: Long,
+    ): Boolean = machineNamesByTask.isNotEmpty() && nowMs - lastAtMs < durationMs
+
+    /** Records that the task [index] failed on the machine [machineName] at [nowMs]. */
     fun add(
         index: Int,
         machineName: String,
+        nowMs: Long,
     ) {
+        lastAtMs = nowMs
         machineNames.add(machineName)
         machineNamesByTask.getOrPut(index) { HashSet() }.add(machineName)
     }
--- a/src/main/kotlin/ledgearch/model/MachineFailures.kt
+++ b/src/main/kotlin/ledgearch/model/MachineFailures.kt
@@ -47,9 +47,6 @@
     /** Returns the ids of the jobs whose tasks failed. */
     fun jobIds(): Set<String> = failuresByTask.keys.mapTo(LinkedHashSet()) { it.job.id }
 
-    /** Returns whether a task of [job] failed on the machine. */
-    fun contains(job: Job): Boolean = failuresByTask.keys.any { it.job === job }
-
     /** Returns the number of failures of each job, counting the tasks for which [counts] is true. */
     fun countByJob(counts: (job: Job, index: Int) -> Boolean): Map<Job, Int> {
         if (failuresByTask.isEmpty()) return emptyMap()
--- a/src/main/kotlin/ledgearch/model/ModelTuning.kt
+++ b/src/main/kotlin/ledgearch/model/ModelTuning.kt
@@ -5,6 +5,9 @@
     /** Keeps a heartbeat, at about 110 bytes per task, below 64 KiB. */
     const val MAX_TASKS_PER_MACHINE = 400
 
+    /** Time after its last failure for which a job counts as one that fails everywhere: more than its longest delay. */
+    const val JOB_SUSPICION_MS = 75_000L
+
     /** First pause of a quarantined machine before a trial: a fetch and a start of the same task elsewhere. */
     const val FIRST_TRIAL_PAUSE_MS = 5_000L
 
--- a/src/test/kotlin/ledgearch/agents/FailureEvidenceTest.kt
+++ b/src/test/kotlin/ledgearch/agents/FailureEvidenceTest.kt
@@ -2,6 +2,7 @@
 
 import ledgearch.model.Job
 import ledgearch.model.Machine
+import ledgearch.model.ModelTuning
 import ledgearch.model.Quarantine
 import ledgearch.model.QuarantineCause
 import ledgearch.model.TeamQuotas
@@ -36,7 +37,7 @@
         machine: Machine,
     ) {
         machine.failures.add(job, index, clock.steadyMs)
-        job.failures.add(index, machine.name)
+        job.failures.add(index, machine.name, clock.steadyMs)
     }
 
     @Test
@@ -113,12 +114,25 @@
     @Test
     fun `only one task at a time is started of a job that fails everywhere, until one completes`() {
         val job = job("job-1")
+        fail(job, 1, addMachines(4).first())
         job.failures.failsEverywhere = true
         assertEquals(1, job.startableCount(clock.steadyMs))
         job.markFinished(0)
         assertEquals(3, job.startableCount(clock.steadyMs))
     }
 
+    @Test
+    fun `a job that could not be tried for a while is no longer held back`() {
+        val job = job("job-1")
+        fail(job, 0, addMachines(4).first())
+        job.failures.failsEverywhere = true
+        clock.steadyMs = ModelTuning.JOB_SUSPICION_MS - 1
+        assertTrue(job.isSuspect(clock.steadyMs))
+        clock.steadyMs++
+        assertFalse(job.isSuspect(clock.steadyMs))
+        assertEquals(4, job.startableCount(clock.steadyMs))
+    }
+
     @Test
     fun `only a task that was started after a failure removes the failure`() {
         val machine = addMachines(4).first()
--- a/src/test/kotlin/ledgearch/simulation/scenarios/MachineSteps.kt
+++ b/src/test/kotlin/ledgearch/simulation/scenarios/MachineSteps.kt
@@ -13,6 +13,7 @@
             "hang-first" to ::hangFirst,
             "resume" to { step -> simulation.workers[machineName(step.words[1])]?.isHanging = false },
             "fail-starts" to { step -> worker(step).failsStarts = true },
+            "repair" to { step -> worker(step).failsStarts = false },
             "restart-machine" to { step -> worker(step).restart() },
             "preemption-notice" to ::announcePreemption,
             "fail-machine" to ::failMachine,
