--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -32,9 +32,9 @@
                 ledger.write(broken == null ? "RESULT the rule held" : "RESULT rule broken: " + broken);
                 System.out.println(broken == null ? "rule held" : "rule broken: " + broken);
                 code = broken == null ? 0 : 1;
-            } catch (Cluster.CannotRun e) {
-                ledger.write("RESULT could not run: " + e.getMessage());
-                System.out.println("could not run: " + e.getMessage());
+            } catch (Exception e) {
+                ledger.write("RESULT could not run: " + e);
+                System.out.println("could not run: " + e);
                 code = 2;
             }
         } finally {
@@ -42,5 +42,4 @@
         }
         System.exit(code);
     }
-
 }
--- a/review/standins-2/StateService.java
+++ b/review/standins-2/StateService.java
@@ -57,6 +57,11 @@
         txnDelayMs.put(node, delayMs);
     }
 
+    /** Writes [value] under [key], as a controller did. */
+    public synchronized void write(String key, Object value) {
+        transact(Json.object("then", List.of(Json.object("put", key, "v", value))));
+    }
+
     /** Returns the value stored under [key], or null. */
     public synchronized Object value(String key) {
         Entry entry = keys.get(key);
