A leader whose lease may have ended sends no direct starts

Cause: a leader that is deposed and does not know it is fenced by the token that workers have seen. A machine that restarts without its state has forgotten that token and accepts a direct start of the old leader before any heartbeat has shown the restart.

Change: without a valid leader lease starts are left to the replies to heartbeats; a heartbeat after a restart conflicts with what that leader knows, so its reply carries nothing.

ProductionFaults.hang uses Simulation.hang, which did the same.

--- a/src/main/kotlin/ledgearch/agents/CommandDispatcher.kt
+++ b/src/main/kotlin/ledgearch/agents/CommandDispatcher.kt
@@ -155,17 +155,22 @@
         }
     }
 
-    /**
-     * Returns the commands to send directly. Once many ended attempts wait for a fence, starts are left to the replies
-     * to heartbeats, which need none: the agent's list stays bounded however long the token can't be renewed.
-     */
+    /** Returns the commands to send directly. Others are left to the replies to heartbeats, which need no fence. */
     private fun directCommands(machine: Machine): List<TaskCommand> {
         val pending = collectPending(machine)
-        if (pending.unfencedCount < AgentTuning.MAX_UNFENCED_ATTEMPTS) return pending.commands
+        if (mayStartDirectly(pending)) return pending.commands
         metrics.count("command.starts_left_to_heartbeat")
         return pending.commands.filter { it.kind != CommandKind.START }
     }
 
+    /**
+     * Returns whether starts may be sent directly. Not while many ended attempts wait for a fence, so that the agent's
+     * list stays bounded however long the token can't be renewed. And not when another node may lead: an agent that has
+     * just restarted without its state would accept the start, while its heartbeat shows the restart.
+     */
+    private fun mayStartDirectly(pending: PendingCommands) =
+        election.hasValidLease && pending.unfencedCount < AgentTuning.MAX_UNFENCED_ATTEMPTS
+
     /** Records that a direct command under [token] carries the starts in [commands]; returns whether there are any. */
     private fun markStarts(
         machine: Machine,
--- a/src/test/kotlin/ledgearch/simulation/faults/ProductionFaults.kt
+++ b/src/test/kotlin/ledgearch/simulation/faults/ProductionFaults.kt
@@ -77,8 +77,8 @@
 
     private fun hang(maxCount: Int) {
         val names = randomMachines(maxCount)
-        names.forEach { simulation.workers[it]?.isHanging = true }
-        clock.after(randomMs(2, 40)) { names.forEach { simulation.workers[it]?.isHanging = false } }
+        val durationMs = randomMs(2, 40)
+        names.forEach { simulation.hang(it, durationMs) }
     }
 
     /** Ends machines that the cloud lists as running for a while, then as failed. */
