Images of a machine and zone restrictions of a job stand once

"The zone of one task limits the others" stood in three places and is Job.restrictsZonesTogether. No change of behaviour.

--- a/src/main/kotlin/ledgearch/agents/TaskStatusHandler.kt
+++ b/src/main/kotlin/ledgearch/agents/TaskStatusHandler.kt
@@ -128,7 +128,7 @@
         isFirstReport: Boolean,
     ) {
         val job = attempt.job
-        if (isFirstReport && job != null) attempt.machine.recordImageUse(job.spec.image, job.spec.imageGb)
+        if (isFirstReport && job != null) attempt.machine.images.recordUse(job.spec.image, job.spec.imageGb)
         attempt.state = AttemptState.FETCHING
     }
 
@@ -143,9 +143,9 @@
             machine.name,
         )
         val job = attempt.job ?: return
-        machine.recordImageUse(job.spec.image, job.spec.imageGb)
+        machine.images.recordUse(job.spec.image, job.spec.imageGb)
         // Latency-sensitive tasks are placed on machines that have their image.
-        if (machine.fetchedImages.add(job.spec.image)) listener.onPlacementChanged()
+        if (machine.images.fetched.add(job.spec.image)) listener.onPlacementChanged()
     }
 
     private fun markExited(
--- a/src/main/kotlin/ledgearch/autoscaling/QuarantinedMachines.kt
+++ b/src/main/kotlin/ledgearch/autoscaling/QuarantinedMachines.kt
@@ -35,8 +35,12 @@
         inService: List<Machine>,
     ): Boolean =
         jobStore.jobs.values.none { job ->
-            machine.couldRun(job) && inService.none { it.couldRun(job) && (it.zone == machine.zone || !needsZone(job)) }
+            machine.couldRun(job) && inService.none { it.couldRun(job) && mayReplace(machine, it, job) }
         }
 
-    private fun needsZone(job: Job) = job.spec.spreadZones || job.spec.singleZone
+    private fun mayReplace(
+        machine: Machine,
+        other: Machine,
+        job: Job,
+    ) = other.zone == machine.zone || !job.restrictsZonesTogether
 }
--- a/src/main/kotlin/ledgearch/control/AttemptControl.kt
+++ b/src/main/kotlin/ledgearch/control/AttemptControl.kt
@@ -30,7 +30,7 @@
         machine.attach(attempt)
         job.addAttempt(attempt)
         job.lastStartAtMs = clock.wallMs
-        machine.recordImageUse(job.spec.image, job.spec.imageGb)
+        machine.images.recordUse(job.spec.image, job.spec.imageGb)
         dispatcher.enqueue(machine)
         log.debug("attempt placed; task={} attempt={} machine={}", attempt.taskId, number, machine.name)
     }
--- a/src/main/kotlin/ledgearch/model/Job.kt
+++ b/src/main/kotlin/ledgearch/model/Job.kt
@@ -27,6 +27,9 @@
     /** Id, unique among all jobs. */
     val id: String get() = spec.id
 
+    /** Whether the zone of one task limits the zones of the others. */
+    val restrictsZonesTogether: Boolean get() = spec.spreadZones || spec.singleZone
+
     /** Whether the tasks run as replicas until the job is cancelled; otherwise it is an array of tasks that end. */
     val isService: Boolean = spec.kind == JobKind.SERVICE
 
--- a/src/main/kotlin/ledgearch/model/Machine.kt
+++ b/src/main/kotlin/ledgearch/model/Machine.kt
@@ -69,8 +69,7 @@
     ) {
         numbers.recordRestart(newIncarnation, currentToken)
         attempts.values.forEach { it.recordAgentRestart() }
-        imageSizesGb.clear()
-        fetchedImages.clear()
+        images.clear()
     }
 
     var lastMessageAtMs = knownSinceMs
@@ -258,50 +257,11 @@
     /** Returns whether tasks of [job] may run on this machine by its type, zone and kind (spot or on-demand). */
     fun allows(job: Job): Boolean = job.allows(machineType, zone, spot)
 
-    // --- Images ----------------------------------------------------------------------------------------------------
-
-    /** Images that are on the machine or being fetched, with their size in gigabytes, in the order of last use. */
-    val imageSizesGb = LinkedHashMap<String, Double>()
-
-    /** Images that are known to be on the machine because a task that uses them has run here. */
-    val fetchedImages = HashSet<String>()
-
-    /** Returns how far the image is from being on the machine: [IMAGE_PRESENT], [IMAGE_FETCHING] or [IMAGE_ABSENT]. */
-    fun imageDistance(image: String): Int =
-        when (image) {
-            !in imageSizesGb -> IMAGE_ABSENT
-            in fetchedImages -> IMAGE_PRESENT
-            else -> IMAGE_FETCHING
-        }
-
-    /** Records a use of [image] and removes the least recently used images as long as the disk is too small for all. */
-    fun recordImageUse(
-        image: String,
-        gb: Double,
-    ) {
-        imageSizesGb.remove(image)
-        imageSizesGb[image] = gb
-        var total = imageSizesGb.values.sum()
-        val oldest = imageSizesGb.entries.iterator()
-        while (total > machineType.diskGb && imageSizesGb.size > 1 && oldest.hasNext()) {
-            val (name, size) = oldest.next()
-            total -= size
-            fetchedImages.remove(name)
-            oldest.remove()
-        }
-    }
+    /** The images that are on the machine or being fetched. */
+    val images = ImageCache(machineType.diskGb)
 
     companion object {
         /** Tolerance for comparing sums of decimal amounts. */
         const val TOLERANCE = 1e-6
-
-        /** The image is on the machine. */
-        const val IMAGE_PRESENT = 0
-
-        /** The image is being fetched. */
-        const val IMAGE_FETCHING = 1
-
-        /** The image is neither on the machine nor being fetched. */
-        const val IMAGE_ABSENT = 2
     }
 }
--- a/src/main/kotlin/ledgearch/recovery/ZoneRecovery.kt
+++ b/src/main/kotlin/ledgearch/recovery/ZoneRecovery.kt
@@ -1,6 +1,7 @@
 package ledgearch.recovery
 
 import ledgearch.config.ZoneRecoverySettings
+import ledgearch.model.ImageCache
 import ledgearch.model.Job
 import ledgearch.model.Machine
 import ledgearch.model.TaskAttempt
@@ -153,7 +154,7 @@
     private fun mayFetchFor(
         machine: Machine,
         job: Job,
-    ) = machine.imageDistance(job.spec.image) != Machine.IMAGE_ABSENT ||
+    ) = machine.images.distance(job.spec.image) != ImageCache.ABSENT ||
         machine.fetchingCount < RecoveryTuning.MAX_FETCHES_PER_MACHINE
 
     override fun mayStart(job: Job): Boolean {
--- a/src/main/kotlin/ledgearch/scheduling/CandidateRating.kt
+++ b/src/main/kotlin/ledgearch/scheduling/CandidateRating.kt
@@ -1,5 +1,6 @@
 package ledgearch.scheduling
 
+import ledgearch.model.ImageCache
 import ledgearch.model.Job
 import ledgearch.model.Machine
 
@@ -21,12 +22,12 @@
     /** Sets all criteria of [candidate] to their current values. */
     fun rate(candidate: Candidates.Candidate) {
         val machine = candidate.machine
-        val imageDistance = machine.imageDistance(job.spec.image)
+        val imageDistance = machine.images.distance(job.spec.image)
         candidate.imageDistance = imageDistance
         if (job.isService) candidate.replicaCount = job.attempts.values.count { it.machine === machine }
         candidate.imageRank = imageRank(machine, imageDistance)
         candidate.pricingRank = if (machine.spot == prefersSpot) 0 else 1
-        candidate.pendingFetches = if (imageDistance == Machine.IMAGE_ABSENT) machine.fetchingCount else 0
+        candidate.pendingFetches = if (imageDistance == ImageCache.ABSENT) machine.fetchingCount else 0
         // One lost task delays the whole job, and a job on fewer spot machines is hit by a loss less often.
         candidate.spotRoomRank = if (machine.spot && !job.isService) -machine.roomFor(job, pendingTasks) else 0
         candidate.freeCpus = machine.machineType.vcpus - machine.usedCpus
@@ -40,15 +41,15 @@
             isLatencySensitive -> imageDistance
 
             // Only a present image lets a replica start at once; otherwise spreading the replicas ranks higher.
-            job.isService -> minOf(imageDistance, Machine.IMAGE_FETCHING)
+            job.isService -> minOf(imageDistance, ImageCache.FETCHING)
 
             else -> countLatencySensitiveImages(machine)
         }
 
     private fun countLatencySensitiveImages(machine: Machine): Int =
-        if (machine.fetchedImages.isEmpty()) {
+        if (machine.images.fetched.isEmpty()) {
             0
         } else {
-            latencySensitiveImages.count { it in machine.fetchedImages }
+            latencySensitiveImages.count { it in machine.images.fetched }
         }
 }
--- a/src/main/kotlin/ledgearch/scheduling/Candidates.kt
+++ b/src/main/kotlin/ledgearch/scheduling/Candidates.kt
@@ -1,5 +1,6 @@
 package ledgearch.scheduling
 
+import ledgearch.model.ImageCache
 import ledgearch.model.Job
 import ledgearch.model.Machine
 import ledgearch.model.ZoneSpread
@@ -34,7 +35,7 @@
         /** 0 for the pricing (spot or on-demand) that the job prefers, 1 for the other. */
         var pricingRank = 0
 
-        /** See [Machine.imageDistance]. */
+        /** See [ImageCache.distance]. */
         var imageDistance = 0
 
         /** Number of attempts on the machine that wait for their image, if this image is absent there; otherwise 0. */
--- a/src/main/kotlin/ledgearch/scheduling/Placer.kt
+++ b/src/main/kotlin/ledgearch/scheduling/Placer.kt
@@ -1,5 +1,6 @@
 package ledgearch.scheduling
 
+import ledgearch.model.ImageCache
 import ledgearch.model.Job
 import ledgearch.model.Machine
 import ledgearch.model.TeamQuotas
@@ -100,7 +101,7 @@
         for (ordered in recovery.reorder(levels)) {
             for (job in ordered) {
                 if (ranking.isLatencySensitive(job)) {
-                    starter.startOn(job, usable.filter { it.imageDistance(job.spec.image) == Machine.IMAGE_PRESENT })
+                    starter.startOn(job, usable.filter { it.images.distance(job.spec.image) == ImageCache.PRESENT })
                 } else {
                     starter.startAnywhere(job, usable)
                 }
--- a/src/main/kotlin/ledgearch/scheduling/Preemption.kt
+++ b/src/main/kotlin/ledgearch/scheduling/Preemption.kt
@@ -1,5 +1,6 @@
 package ledgearch.scheduling
 
+import ledgearch.model.ImageCache
 import ledgearch.model.Job
 import ledgearch.model.Machine
 import ledgearch.model.TaskAttempt
@@ -57,7 +58,7 @@
     ): Map<Job, Int> {
         val imageHolders =
             usable.filter { machine ->
-                latencySensitive.any { machine.imageDistance(it.spec.image) == Machine.IMAGE_PRESENT }
+                latencySensitive.any { machine.images.distance(it.spec.image) == ImageCache.PRESENT }
             }
         return serve(latencySensitive, imageHolders, running, PreemptionMode.IMAGE_HOLDERS)
     }
--- a/src/main/kotlin/ledgearch/scheduling/PreemptionPass.kt
+++ b/src/main/kotlin/ledgearch/scheduling/PreemptionPass.kt
@@ -1,5 +1,6 @@
 package ledgearch.scheduling
 
+import ledgearch.model.ImageCache
 import ledgearch.model.Job
 import ledgearch.model.Machine
 import ledgearch.model.TaskAttempt
@@ -63,7 +64,7 @@
     ) {
         private val jobCandidates =
             if (mode.onlyImageHolders) {
-                candidates.filter { it.machine.imageDistance(job.spec.image) == Machine.IMAGE_PRESENT }
+                candidates.filter { it.machine.images.distance(job.spec.image) == ImageCache.PRESENT }
             } else {
                 candidates
             }
--- a/src/main/kotlin/ledgearch/scheduling/QueueBinder.kt
+++ b/src/main/kotlin/ledgearch/scheduling/QueueBinder.kt
@@ -84,12 +84,10 @@
         for (job in waiting) {
             if (openQueues == 0) return
             if (unboundTasks(job) <= 0) continue
-            val spec = job.spec
-            val constraints = PlacementConstraints(spec)
-            val hasNoZoneSpread = !spec.spreadZones && !spec.singleZone
+            val constraints = PlacementConstraints(job.spec)
             if (constraints in exhausted) continue
             openQueues -= bindUnbound(job, usable, preferred)
-            if (hasNoZoneSpread && unboundTasks(job) > 0) exhausted.add(constraints)
+            if (!job.restrictsZonesTogether && unboundTasks(job) > 0) exhausted.add(constraints)
         }
     }
 
--- a/src/main/kotlin/ledgearch/scheduling/ReplicaMover.kt
+++ b/src/main/kotlin/ledgearch/scheduling/ReplicaMover.kt
@@ -2,6 +2,7 @@
 
 import ledgearch.model.AttemptState
 import ledgearch.model.FreeResources
+import ledgearch.model.ImageCache
 import ledgearch.model.Job
 import ledgearch.model.Machine
 import ledgearch.model.StopMode
@@ -53,16 +54,14 @@
         job: Job,
         source: Machine,
         destinations: List<Destination>,
-    ): Destination? {
-        val hasNoZoneSpread = !job.spec.spreadZones && !job.spec.singleZone
-        return destinations.firstOrNull {
+    ): Destination? =
+        destinations.firstOrNull {
             val machine = it.machine
-            (hasNoZoneSpread || machine.zone == source.zone) &&
+            (!job.restrictsZonesTogether || machine.zone == source.zone) &&
                 machine.allows(job) &&
-                machine.imageDistance(job.spec.image) == Machine.IMAGE_PRESENT &&
+                machine.images.distance(job.spec.image) == ImageCache.PRESENT &&
                 it.free.fits(job)
         }
-    }
 
     /** Stops the replicas on [machine] so that they start elsewhere; returns whether there were any. */
     fun moveReplicas(machine: Machine): Boolean {
--- a/src/main/kotlin/ledgearch/scheduling/ResourceSearch.kt
+++ b/src/main/kotlin/ledgearch/scheduling/ResourceSearch.kt
@@ -48,7 +48,7 @@
 
     private fun addIfRoom(candidate: PreemptionCandidate) {
         if (!candidate.freeAfterStops.fits(job)) return
-        withRoom.add(CandidateWithRoom(candidate.machine.imageDistance(job.spec.image), candidate))
+        withRoom.add(CandidateWithRoom(candidate.machine.images.distance(job.spec.image), candidate))
     }
 
     private fun addVictimSet(
--- a/src/main/kotlin/ledgearch/scheduling/SchedulingTuning.kt
+++ b/src/main/kotlin/ledgearch/scheduling/SchedulingTuning.kt
@@ -29,7 +29,7 @@
     /** Cost of preempting a running task, in addition to its work: its image was fetched, and users see it run. */
     const val LOST_START_COST_CPU_S = 5.0
 
-    /** Cost of making room on a machine without the image, per unit of [ledgearch.model.Machine.imageDistance]. */
+    /** Cost of making room on a machine without the image, per unit of [ledgearch.model.ImageCache.distance]. */
     const val IMAGE_DISTANCE_COST_CPU_S = 20.0
 
     /** Cost of a missed service-level objective: about the work of one job. */
--- a/src/main/kotlin/ledgearch/scheduling/VictimSelector.kt
+++ b/src/main/kotlin/ledgearch/scheduling/VictimSelector.kt
@@ -17,7 +17,8 @@
     /** Returns the victims on the machine of [candidate]; null if there are none or they do not make enough room. */
     fun selectOn(candidate: PreemptionCandidate): VictimSet? {
         val victims = select(candidate) ?: return null
-        val imageCostCpuS = candidate.machine.imageDistance(job.spec.image) * SchedulingTuning.IMAGE_DISTANCE_COST_CPU_S
+        val imageCostCpuS =
+            candidate.machine.images.distance(job.spec.image) * SchedulingTuning.IMAGE_DISTANCE_COST_CPU_S
         return VictimSet(candidate, victims, victims.sumOf { it.costCpuS } + imageCostCpuS)
     }
 
--- a/src/main/kotlin/ledgearch/standby/FailoverHints.kt
+++ b/src/main/kotlin/ledgearch/standby/FailoverHints.kt
@@ -71,8 +71,8 @@
     ) {
         // The negated comparison also rejects NaN.
         if (!(image.sizeGb >= 0.0) || image.sizeGb.isInfinite()) return
-        machine.recordImageUse(image.name, image.sizeGb)
-        if (image.isFetched && image.name in machine.imageSizesGb) machine.fetchedImages.add(image.name)
+        machine.images.recordUse(image.name, image.sizeGb)
+        if (image.isFetched && image.name in machine.images.sizesGb) machine.images.fetched.add(image.name)
     }
 
     private fun applyMeanError(
--- a/src/main/kotlin/ledgearch/standby/LeaderStateReader.kt
+++ b/src/main/kotlin/ledgearch/standby/LeaderStateReader.kt
@@ -62,6 +62,6 @@
             machine.numbers.incarnation,
             machine.isReleasing,
             machine.attempts.values.map { AttemptSnapshot(it.taskId, it.number, it.state) },
-            machine.imageSizesGb.map { (name, sizeGb) -> CachedImage(name, sizeGb, name in machine.fetchedImages) },
+            machine.images.sizesGb.map { (name, sizeGb) -> CachedImage(name, sizeGb, name in machine.images.fetched) },
         )
 }
