--- a/src/main/kotlin/ledgearch/control/HeartbeatConflicts.kt
+++ b/src/main/kotlin/ledgearch/control/HeartbeatConflicts.kt
@@ -7,6 +7,7 @@
 import ledgearch.runtime.Clock
 import ledgearch.runtime.Metrics
 import ledgearch.wire.Heartbeat
+import org.slf4j.LoggerFactory
 
 /**
  * Heartbeats that contradict what is known of a confirmed machine: late duplicates, or those of an agent that has
@@ -18,6 +19,8 @@
     private val metrics: Metrics,
     private val clock: Clock,
 ) {
+    private val log = LoggerFactory.getLogger("ledgearch.control")
+
     /** Returns whether [heartbeat] contradicts what is known of [machine]. */
     fun isIn(
         machine: Machine,
@@ -37,12 +40,23 @@
         taskStatusHandler.lacksAttempts(machine, heartbeat.tasks)
 
     /**
-     * Has the agent of [machine] asked for its status. The reply to a late duplicate reaches nobody, and that to an
+     * Has the agent of [machine] asked for its status because of [heartbeat]. The reply to a late duplicate reaches nobody, and that to an
      * agent that has restarted has no effect, so neither renews a lease. Once the restart is known, the reply renews
      * the lease of the tasks that run since.
      */
-    fun handle(machine: Machine): HeartbeatResult {
+    fun handle(
+        machine: Machine,
+        heartbeat: Heartbeat,
+    ): HeartbeatResult {
         metrics.count("heartbeat.conflicting")
+        log.debug(
+            "heartbeat conflicts with what is known; machine={} incarnation={} sequence={} token={} tasks={}",
+            machine.name,
+            heartbeat.incarnation,
+            heartbeat.sequence,
+            heartbeat.token,
+            heartbeat.tasks.size,
+        )
         dispatcher.requestStatus(machine)
         if (!machine.numbers.isRestartPending) return HeartbeatResult.Disregarded
         machine.latestLeaseStartMs = clock.steadyMs
--- a/src/main/kotlin/ledgearch/control/HeartbeatHandler.kt
+++ b/src/main/kotlin/ledgearch/control/HeartbeatHandler.kt
@@ -50,7 +50,7 @@
         val machine =
             machineRegistry.machines[heartbeat.machine] ?: machineAdmission.admit(heartbeat)
                 ?: return HeartbeatResult.NO_COMMANDS
-        if (conflicts.isIn(machine, heartbeat)) return conflicts.handle(machine)
+        if (conflicts.isIn(machine, heartbeat)) return conflicts.handle(machine, heartbeat)
         // The reply may renew the agent's lease. This includes a machine being released: until the release is done its
         // tasks may run there and must be stopped like any others.
         machine.latestLeaseStartMs = clock.steadyMs
