--- a/src/main/kotlin/ledgearch/control/HeartbeatConflicts.kt
+++ b/src/main/kotlin/ledgearch/control/HeartbeatConflicts.kt
@@ -40,9 +40,9 @@
         taskStatusHandler.lacksAttempts(machine, heartbeat.tasks)
 
     /**
-     * Has the agent of [machine] asked for its status because of [heartbeat]. The reply to a late duplicate reaches nobody, and that to an
-     * agent that has restarted has no effect, so neither renews a lease. Once the restart is known, the reply renews
-     * the lease of the tasks that run since.
+     * Has the agent of [machine] asked for its status because of [heartbeat]. The reply to a late duplicate reaches
+     * nobody, and that to an agent that has restarted has no effect, so neither renews a lease. Once the restart is
+     * known, the reply renews the lease of the tasks that run since.
      */
     fun handle(
         machine: Machine,
